--- a/shedhold/adapter.py
+++ b/robinhill/adapter.py
@@ -7,8 +7,8 @@
 
 import orjson
 
-from shedhold import api
-from shedhold.logic import Balancer
+from robinhill import api
+from robinhill.logic import Balancer
 
 Json = Any
 
@@ -214,7 +214,7 @@
     try:
         run(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as e:
-        print(f"shedhold: malformed input: {' '.join(str(e).split())}", file=sys.stderr)
+        print(f"robinhill: malformed input: {' '.join(str(e).split())}", file=sys.stderr)
         return 2
     return 0
 
--- a/shedhold/logic.py
+++ b/robinhill/logic.py
@@ -1,4 +1,4 @@
-"""All decisions of shedhold; the interface (types, events, actions) is in shedhold/api.py.
+"""All decisions of robinhill; the interface (types, events, actions) is in robinhill/api.py.
 
 The ordinary path is the age-priced rotation of docs/design.md: the eligible worker with the lowest q^x
 gets the job, where x is the number of own sends since that worker last got one, q = rate / (rate + speed).
@@ -11,7 +11,7 @@
 from math import exp, inf, log1p
 from typing import Any
 
-from shedhold import api
+from robinhill import api
 
 UNKNOWN_JOB_US = 1_000_000.0  # the design page: 1 job a second where no speed is known
 BACK_OFF = 64.0  # an age counts so much less for a class just turned away: picked only if most others were
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from shedhold import api
-from shedhold.logic import Balancer
+from robinhill import api
+from robinhill.logic import Balancer
 
 MS = 1000
 S = 1_000_000
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,7 +9,7 @@
 import orjson
 import pytest
 
-from shedhold import adapter
+from robinhill import adapter
 
 ROOT = Path(__file__).parent.parent
 OPTIONS: dict[str, Any] = {
@@ -128,7 +128,7 @@
 @pytest.mark.parametrize("line", BROKEN)
 def test_malformed_input_ends_with_one_plain_line(line: bytes) -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "shedhold.adapter"], input=line, capture_output=True, cwd=ROOT, check=False
+        [sys.executable, "-m", "robinhill.adapter"], input=line, capture_output=True, cwd=ROOT, check=False
     )
     assert done.returncode == 2 and done.stdout == b""
-    assert done.stderr.startswith(b"shedhold: ") and done.stderr.count(b"\n") == 1
+    assert done.stderr.startswith(b"robinhill: ") and done.stderr.count(b"\n") == 1
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,6 +1,6 @@
 """One small test for each failure found on the bench."""
 
-from shedhold import api
+from robinhill import api
 
 from .conftest import MS, Node, S, klass, only, sent_to
 
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from shedhold import api
-from shedhold.logic import Balancer
+from robinhill import api
+from robinhill.logic import Balancer
 
 from .conftest import MS, S, klass, settings
 
--- a/tests/test_rotation.py
+++ b/tests/test_rotation.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from shedhold import api
+from robinhill import api
 
 from .conftest import MS, Node, sent_to
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from shedhold import api
+from robinhill import api
 
 from .conftest import MS, Node, S, klass, only, sent_to, settings
 
