Add the scheduler on real sockets: python -m robinhill

Round the unchanged module: a decider actor that owns it, an actor for each endpoint, one for the destination set, and aiohttp's low-level server as the inbound side. Reading the start-up options moves from the adapter into robinhill/settings.py, which both programs use.

Its client resends idempotent requests by itself; that is turned off.

--- a/robinhill/adapter.py
+++ b/robinhill/adapter.py
@@ -9,11 +9,10 @@
 
 from robinhill import api
 from robinhill.logic import Balancer
+from robinhill.settings import read_settings as read_settings
 
 Json = Any
 
-REPEATS = {"retryable": api.Repeat.SAFE, "dedup": api.Repeat.KEYED, "fragile": api.Repeat.UNSAFE}
-SCOPES = {"all": api.Scope.ALL, "zone": api.Scope.ZONE, "cell": api.Scope.CELL}
 OUTCOMES = {
     "completed": api.Outcome.COMPLETED,
     "errored": api.Outcome.ERROR,
@@ -30,69 +29,6 @@
     """The input is not what the wire's page says."""
 
 
-def read_places(names: Json, setting: str, needed: int = -1) -> frozenset[int] | None:
-    """The kinds or zones that a class is bound to; a missing list and one that names none leave it free."""
-    if names is not None and not (isinstance(names, list) and all(type(x) is int for x in names)):
-        raise ValueError(f"{setting}: must be a list of numbers")
-    places = frozenset(names) if names else None
-    if needed < 0:
-        return places
-    return frozenset({needed}) if places is None else places & {needed}
-
-
-def read_settings(options: dict[str, Json]) -> api.Settings:
-    """Translate the start message's options; unknown keys are skipped."""
-    limits, rules, specifics = options["policy-limits"], options["guarantees"], options.get("specifics", {})
-    stretches, kinds = specifics.get("class-stretch", []), specifics.get("class-kind", [])
-    classes = tuple(
-        api.JobClass(
-            aim_us=c["aim-us"],
-            deadline_us=c["hard-limit-us"],
-            worth=c.get("worth", 1.0),
-            late_worth=c.get("late-worth", 0.0),
-            stretch=stretches[i] if i < len(stretches) else c.get("aim-stretch", 0.0),
-            repeat=REPEATS[c["repeat"]],
-            scope=SCOPES[c.get("dedup-scope", "cell")],
-            memory_us=c.get("memory-span-us", 0),
-            kinds=read_places(c.get("shapes-allowed"), "shapes-allowed", kinds[i] if i < len(kinds) else -1),
-            zones=read_places(c.get("runs-in"), "runs-in"),
-            stream=c.get("stream", False),
-        )
-        for i, c in enumerate(options["classes"])
-    )
-    prices = options.get("prices", {})
-    return api.Settings(
-        classes=classes,
-        fleet_size=options["fleet-size"],
-        zone=options.get("zone", 0),
-        quotas_per_s=tuple(t.get("quota-per-s", 0.0) for t in options.get("tenants", [])),
-        over_quota_worth=options.get("over-share-worth", 1.0),
-        value_by_work=options.get("value-by") == "work",
-        must_subscribe=options.get("discovery") == "subscribe",
-        ask_every_us=rules.get("ask-every-us") or 10_000_000,
-        drain_grace_us=rules["drain-grace-us"],
-        cold_from=rules["cold-from"],
-        cold_us=rules["cold-us"],
-        fall_multiple=rules["fall-multiple"],
-        tip_after_us=rules["tip-after-us"],
-        connect_timeout_us=limits.get("connect-timeout-us", 250_000),
-        max_attempts=limits["most-tries"],
-        parallel_attempts=limits.get("parallel-tries", False),
-        cancelling=limits.get("cancelling", False),
-        probes=limits.get("probes", False),
-        retry_after=limits.get("retry-after", False),
-        max_retry_after_us=limits.get("max-retry-after-us", 0),
-        tells_start=bool(specifics.get("tells-start", False)),
-        progress_us=specifics.get("progress-us", 0),
-        cross_zone_price=prices.get("cross-zone", 0.0),
-        waste_price=prices.get("waste", 0.0),
-        handshake_price=prices.get("handshake", 0.0),
-        keepalive_us=limits.get("keepalive-us", 60_000_000),
-        full_may_have_run=rules.get("late-shedding", False),
-        close_within_us=rules.get("let-go-in-us"),
-    )
-
-
 def read_worker(row: list[Json]) -> api.Worker:
     """Translate one directory entry."""
     weight, cell, started, address, zone, state, kind = row[:7]
--- /dev/null
+++ b/robinhill/config.py
@@ -0,0 +1,150 @@
+"""What the program is told at its start: the one place that reads it, checks it and gives defaults.
+
+``GW_CONFIG`` names a JSON file; ``GW_NAME``, ``GW_LISTEN`` and ``GW_DISCOVERY`` go before its ``name``,
+``listen`` and ``discovery``. Whatever is wrong ends in a ConfigError that names the faulty key.
+"""
+
+import math
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from robinhill import api
+from robinhill.net import messages
+from robinhill.settings import read_settings
+
+DEFAULT_SOCKETS = 1024
+
+
+class ConfigError(Exception):
+    """A key of the configuration is missing or wrong."""
+
+    def __init__(self, key: str, what: str) -> None:
+        super().__init__(f"{key}: {what}")
+
+
+@dataclass(slots=True, frozen=True)
+class Address:
+    """A host and a port to listen on or to call."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """All that one scheduler is told; names of classes, zones and machine types in the settings' order."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: messages.DestinationList
+    settings: api.Settings
+    classes: tuple[str, ...]
+    zones: tuple[str, ...]
+    machine_types: tuple[str, ...]
+
+
+def load(env: Mapping[str, str] = os.environ) -> Config:
+    """Read the configuration that the environment names."""
+    document = _document(env)
+    options = document.get("settings")
+    if not isinstance(options, dict):
+        raise ConfigError("settings", "must be an object")
+    return Config(
+        name=_text(env.get("GW_NAME") or document.get("name"), "GW_NAME"),
+        listen=_address(env.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
+        discovery=_address(env.get("GW_DISCOVERY") or document.get("discovery"), "GW_DISCOVERY"),
+        seed=_seed(document.get("seed", "0")),
+        sockets=_sockets(document.get("limits", {})),
+        known=_known(document.get("known")),
+        settings=_settings(options),
+        classes=_names([c.get("name") for c in options["classes"]], "settings.classes[].name"),
+        zones=_names(options.get("areas", []), "settings.areas"),
+        machine_types=_names(options.get("shapes", []), "settings.shapes"),
+    )
+
+
+def _document(env: Mapping[str, str]) -> dict[str, Any]:
+    path = env.get("GW_CONFIG")
+    if not path:
+        raise ConfigError("GW_CONFIG", "is not set")
+    try:
+        document = orjson.loads(Path(path).read_bytes())
+    except OSError as e:
+        raise ConfigError("GW_CONFIG", f"can't read {path}: {e.strerror}") from e
+    except orjson.JSONDecodeError as e:
+        raise ConfigError("GW_CONFIG", f"{path} is not JSON: {e}") from e
+    if not isinstance(document, dict):
+        raise ConfigError("GW_CONFIG", "must hold an object")
+    return document
+
+
+def _text(value: object, key: str) -> str:
+    if not isinstance(value, str) or not value:
+        raise ConfigError(key, "must be text")
+    return value
+
+
+def _address(value: object, key: str) -> Address:
+    host, colon, port = _text(value, key).rpartition(":")
+    if not (host and colon and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise ConfigError(key, f"must be host:port, is {value!r}")
+    return Address(host.strip("[]"), int(port))
+
+
+def _seed(value: object) -> int:
+    """A seed in hexadecimal, as the platform gives it, or a whole number."""
+    try:
+        return int(value, 16) if isinstance(value, str) else int(_number(value, "seed"))
+    except ValueError:
+        raise ConfigError("seed", f"must be a hexadecimal number, is {value!r}") from None
+
+
+def _sockets(limits: object) -> int:
+    if not isinstance(limits, dict):
+        raise ConfigError("limits", "must be an object")
+    sockets = int(_number(limits.get("sockets", DEFAULT_SOCKETS), "limits.sockets"))
+    if sockets < 64:
+        raise ConfigError("limits.sockets", f"must be 64 or more, is {sockets}")
+    return sockets
+
+
+def _known(value: object) -> messages.DestinationList:
+    if value is None:
+        return messages.DestinationList(0, True, ())
+    try:
+        return messages.read_destinations(value)
+    except messages.MalformedError as e:
+        raise ConfigError("known", str(e)) from e
+
+
+def _names(values: object, key: str) -> tuple[str, ...]:
+    if not isinstance(values, list):
+        raise ConfigError(key, "must be a list")
+    return tuple(_text(v, key) for v in values)
+
+
+def _number(value: object, key: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ConfigError(key, f"must be a number, is {value!r}")
+    return value
+
+
+def _settings(options: dict[str, Any]) -> api.Settings:
+    """The module's settings; its own words for what is missing or out of range name the key."""
+    try:
+        return read_settings(options)
+    except KeyError as e:
+        raise ConfigError("settings", f"{e.args[0]} is missing or has no such value") from e
+    except (ValueError, TypeError, AttributeError, IndexError) as e:
+        raise ConfigError("settings", str(e)) from e
--- /dev/null
+++ b/robinhill/net/decider.py
@@ -0,0 +1,266 @@
+"""The decider: the actor that owns the decision module. Events go in, its actions are carried out."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from itertools import count
+
+from robinhill import api
+from robinhill.config import Config
+from robinhill.logic import Balancer
+from robinhill.net import endpoint as ep
+from robinhill.net import messages
+from robinhill.net.actor import Actor, Supervisor
+from robinhill.net.clock import Clock
+from robinhill.net.messages import Answer, Destination, DestinationList, JobEvent, JobRequest, Lifecycle
+
+log = logging.getLogger(__name__)
+
+_STATES = {
+    Lifecycle.ACTIVE: api.WorkerState.READY,
+    Lifecycle.LEAVING: api.WorkerState.DRAINING,
+    Lifecycle.LEFT: api.WorkerState.GONE,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Taken:
+    """The inbound side has taken a request; ``reply`` is where its final answer goes."""
+
+    request: JobRequest
+    arrived_us: int
+    reply: asyncio.Future[Answer]
+
+
+@dataclass(slots=True, frozen=True)
+class ClientLeft:
+    """A client closed its connection before its answer."""
+
+    request: JobRequest
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """Discovery told of the destination set; None if a call to it failed."""
+
+    list: DestinationList | None
+    cached: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Due:
+    """A timer of the module's."""
+
+    tag: str
+
+
+ToDecider = Taken | ClientLeft | Listed | Due | JobEvent | ep.Started | ep.Ended | ep.Probed | ep.Retired
+
+
+@dataclass(slots=True, eq=False)
+class _Held:
+    """A request with an answer owed or an attempt out."""
+
+    job: int
+    request: JobRequest
+    deadline_us: int
+    reply: asyncio.Future[Answer]
+    owed: bool = True
+    out: int = 0  # attempts that are out
+    endpoints: list[str] = field(default_factory=list)  # of each attempt so far
+
+
+class Decider(Actor[ToDecider]):
+    """Carries events to the module and its actions to the endpoints and the inbound side."""
+
+    def __init__(
+        self, config: Config, supervisor: Supervisor, clock: Clock, subscribe: Callable[[], None]
+    ) -> None:
+        super().__init__("decider", supervisor)
+        self.config = config
+        self.clock = clock
+        self.subscribe = subscribe
+        self.balancer = Balancer(config.settings, config.seed)
+        self.held: dict[int, _Held] = {}
+        self.jobs: dict[str, int] = {}  # the wire's ids are text, the module's numbers
+        self.numbers = count(1)
+        self.destinations: dict[str, Destination] = {}
+        self.endpoints: dict[str, ep.Endpoint] = {}
+        self.zones = list(config.zones)
+        self.machine_types = list(config.machine_types)
+
+    def start(self) -> None:
+        self._perform(self.balancer.start(self.clock.now_us()))
+        self._listed(Listed(self.config.known, cached=True))
+        super().start()
+
+    def receive(self, message: ToDecider) -> None:
+        match message:
+            case Taken():
+                self._taken(message)
+            case JobEvent():
+                if endpoint := self.endpoints.get(message.source):
+                    endpoint.tell(message)
+            case ep.Started(job=job, attempt=attempt, share=None):
+                self._decide(api.JobStarted(job, attempt))
+            case ep.Started(job=job, attempt=attempt, share=share):
+                self._decide(api.JobProgress(job, attempt, share or 0.0))
+            case ep.Ended():
+                self._ended(message)
+            case Due(tag=tag):
+                self._decide(api.TimerFired(tag))
+            case ClientLeft(request=request):
+                self._client_left(request)
+            case Listed():
+                self._listed(message)
+            case ep.Probed(instance_id=instance_id, alive=alive):
+                self._decide(api.ProbeEnded(instance_id, alive))
+            case ep.Retired(instance_id=instance_id):
+                self._retired(instance_id)
+
+    def _decide(self, event: api.Event) -> None:
+        self._perform(self.balancer.handle(self.clock.now_us(), event))
+
+    def _perform(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            match action:
+                case api.Send():
+                    self._send(action)
+                case api.Refuse(job=job, retry_in_us=wait):
+                    self._answer(job, messages.fail_fast(wait))
+                case api.Fail(job=job):
+                    self._answer(job, messages.FAILED)
+                case api.Cancel(job=job, attempt=attempt):
+                    if (held := self.held.get(job)) and attempt < len(held.endpoints):
+                        self.endpoints[held.endpoints[attempt]].tell(ep.Withdraw(job, attempt))
+                case api.SetTimer(after_us=after, tag=tag):
+                    asyncio.get_running_loop().call_later(after / 1e6, self.tell, Due(tag))
+                case api.Subscribe():
+                    self.subscribe()
+                case api.Probe(address=address):
+                    self.endpoints[address].tell(ep.Probe())
+                case api.CloseIdle(address=address):
+                    if endpoint := self.endpoints.get(address):
+                        endpoint.tell(ep.CloseIdle())
+                case api.Log(text=text):
+                    log.info("module_says", extra={"text": text})
+
+    # Requests
+
+    def _taken(self, taken: Taken) -> None:
+        request = taken.request
+        if request.id in self.jobs:
+            log.warning("request_repeated", extra={"id": request.id})
+            taken.reply.set_result(messages.CONFLICT)
+            return
+        job = self.jobs[request.id] = next(self.numbers)
+        deadline_us = taken.arrived_us + request.time_left_us
+        self.held[job] = _Held(job, request, deadline_us, taken.reply)
+        left_us = max(1, deadline_us - self.clock.now_us())
+        self._decide(
+            api.Arrived(api.Request(job, request.job_class, left_us, client_repeat=request.client_repeat))
+        )
+
+    def _send(self, action: api.Send) -> None:
+        held = self.held[action.job]
+        until_us = held.deadline_us
+        if action.timeout_us:
+            until_us = min(until_us, self.clock.now_us() + action.timeout_us)
+        number = len(held.endpoints)
+        held.endpoints.append(action.address)
+        held.out += 1
+        final = until_us >= held.deadline_us
+        self.endpoints[action.address].tell(ep.Dispatch(action.job, number, held.request, until_us, final))
+
+    def _ended(self, ended: ep.Ended) -> None:
+        held = self.held[ended.job]
+        held.out -= 1
+        if ended.result is not None:
+            self._answer(ended.job, messages.served(ended.result))
+        over = not held.owed
+        self._decide(api.AttemptEnded(ended.job, ended.attempt, ended.outcome, ended.took_us, over))
+        self._forget(held)
+
+    def _answer(self, job: int, answer: Answer) -> None:
+        held = self.held[job]
+        held.owed = False
+        if not held.reply.done():
+            held.reply.set_result(answer)
+        self._forget(held)
+
+    def _client_left(self, request: JobRequest) -> None:
+        held = self.held.get(self.jobs.get(request.id, 0))
+        if held and held.owed:
+            held.owed = False
+            self._decide(api.ClientGone(held.job))
+            self._forget(held)
+
+    def _forget(self, held: _Held) -> None:
+        if not held.owed and not held.out and held.job in self.held:
+            del self.held[held.job]
+            del self.jobs[held.request.id]
+
+    # The destination set
+
+    def _listed(self, listed: Listed) -> None:
+        if listed.list is None:
+            self._decide(api.WorkersListed(api.ListKind.FAILED))
+            return
+        told = listed.list
+        whole = told.reset or listed.cached
+        kind = api.ListKind.CACHED if listed.cached else api.ListKind.FULL if whole else api.ListKind.CHANGES
+        if whole:
+            names = {d.instance_id for d in told.destinations}
+            for gone in [d for d in self.destinations.values() if d.instance_id not in names]:
+                self._update(replace(gone, lifecycle=Lifecycle.LEFT))
+        for destination in told.destinations:
+            self._update(destination)
+        self._decide(api.WorkersListed(kind, [self._worker(d) for d in told.destinations]))
+
+    def _update(self, destination: Destination) -> None:
+        self.destinations[destination.instance_id] = destination
+        if endpoint := self.endpoints.get(destination.instance_id):
+            endpoint.tell(destination)
+            return
+        settings = self.config.settings
+        endpoint = ep.Endpoint(
+            destination,
+            self.supervisor,
+            self.clock,
+            settings.connect_timeout_us,
+            settings.keepalive_us,
+            self.tell,
+        )
+        self.endpoints[destination.instance_id] = endpoint
+        endpoint.start()
+
+    def _worker(self, d: Destination) -> api.Worker:
+        """The module's view: names become numbers, in the order of the settings, then of their coming."""
+        return api.Worker(
+            address=d.instance_id,
+            zone=_index(self.zones, d.zone),
+            state=_STATES[d.lifecycle],
+            started_us=d.started_us,
+            weight=d.weight,
+            kind=_index(self.machine_types, d.machine_type),
+            cell=d.cell,
+        )
+
+    def _retired(self, instance_id: str) -> None:
+        destination = self.destinations.get(instance_id)
+        if destination and destination.lifecycle is Lifecycle.LEFT:
+            del self.destinations[instance_id]
+            endpoint = self.endpoints.pop(instance_id)
+            endpoint.stop()
+            self.supervisor.spawn(endpoint.close(), f"close {endpoint.name}")
+
+    async def close(self) -> None:
+        for endpoint in self.endpoints.values():
+            await endpoint.close()
+
+
+def _index(names: list[str], name: str) -> int:
+    if name not in names:
+        names.append(name)
+    return names.index(name)
--- /dev/null
+++ b/robinhill/net/destinations.py
@@ -0,0 +1,78 @@
+"""The destination set's actor: watches discovery and passes on what it tells."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import aiohttp
+
+from robinhill.config import Address
+from robinhill.net import messages
+from robinhill.net.actor import Actor, Supervisor
+from robinhill.net.decider import Listed
+
+log = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0
+SILENCE_S = 4.5  # an empty line comes every 2 s; what discovery tells counts as told within 6 s
+
+
+@dataclass(slots=True, frozen=True)
+class Watch:
+    """Open a watch, unless one is open. When to ask again after a failure is the module's decision."""
+
+
+class Destinations(Actor[Watch]):
+    """One watch at a time; each that ends, fails or falls silent is told to the module as a failed call."""
+
+    def __init__(
+        self, discovery: Address, generation: int, supervisor: Supervisor, report: Callable[[Listed], None]
+    ) -> None:
+        super().__init__("destinations", supervisor)
+        self.url = f"http://{discovery}/v1/endpoints"
+        self.generation = generation
+        self.report = report
+        self.watch: asyncio.Task[None] | None = None
+
+    def receive(self, message: Watch) -> None:
+        if self.watch is None or self.watch.done():
+            self.watch = self.supervisor.spawn(self._watch(), "watch")
+
+    async def _watch(self) -> None:
+        try:
+            await self._read()
+            why = "ended"
+        except (aiohttp.ClientError, OSError, TimeoutError, messages.MalformedError) as e:
+            why = f"{type(e).__name__}: {e}"
+        log.warning("watch_lost", extra={"generation": self.generation, "why": why})
+        self.watch = None
+        self.report(Listed(None))
+
+    async def _read(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_S)
+        query = {"watch": "1", "after": str(self.generation)}
+        async with (
+            aiohttp.ClientSession(timeout=timeout, read_bufsize=1 << 20) as session,
+            session.get(self.url, params=query, allow_redirects=False) as response,
+        ):
+            if response.status != 200:
+                raise messages.MalformedError(f"status {response.status}")
+            first = True
+            async for line in response.content:
+                if line.strip():
+                    told = messages.read_destination_line(line)
+                    self.generation = told.generation
+                    self.report(Listed(told))
+                    log.info(
+                        "destinations",
+                        extra={
+                            "generation": told.generation,
+                            "reset": told.reset,
+                            "count": len(told.destinations),
+                        },
+                    )
+                elif first:
+                    # Nothing has changed: the module hears that its call has been answered.
+                    self.report(Listed(messages.DestinationList(self.generation, False, ())))
+                first = False
--- /dev/null
+++ b/robinhill/net/endpoint.py
@@ -0,0 +1,373 @@
+"""An endpoint: the actor that owns the attempts at one worker, their connections, cancels and probes."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from contextvars import ContextVar
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Any
+
+import aiohttp
+from aiohttp.client_reqrep import ClientResponse
+from aiohttp.connector import Connection
+from yarl import URL
+
+from robinhill.api import Outcome
+from robinhill.net import messages
+from robinhill.net.actor import Actor, Supervisor
+from robinhill.net.clock import Clock
+from robinhill.net.messages import Destination, JobEvent, JobRequest, JobState, Lifecycle
+
+log = logging.getLogger(__name__)
+
+RETIRE_SHARE = (
+    0.6  # idle connections close at this share of the endpoint's own limit: no send may meet its close
+)
+PROBE_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 1.0
+LINGER_S = 2.0  # how long a connection waits for the 202 of a job that is over
+_ENDINGS = {JobState.FAILED: Outcome.ERROR, JobState.RETURNED: Outcome.FULL, JobState.LOST: Outcome.RESET}
+
+
+# To the endpoint
+
+
+@dataclass(slots=True, frozen=True)
+class Dispatch:
+    """Start an attempt; it is given up at ``until_us``, at the client's own limit if ``final``."""
+
+    job: int
+    attempt: int
+    request: JobRequest
+    until_us: int
+    final: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Withdraw:
+    """Give an attempt up."""
+
+    job: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Probe:
+    """Ask the endpoint for its health."""
+
+
+@dataclass(slots=True, frozen=True)
+class CloseIdle:
+    """Close the connections that carry nothing."""
+
+
+ToEndpoint = Dispatch | Withdraw | Destination | JobEvent | Probe | CloseIdle
+
+
+# From the endpoint
+
+
+@dataclass(slots=True, frozen=True)
+class Started:
+    """The endpoint has begun to run an attempt, or tells how far it is."""
+
+    job: int
+    attempt: int
+    share: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """An attempt is over; ``result`` is set if and only if it was served."""
+
+    job: int
+    attempt: int
+    outcome: Outcome
+    took_us: int
+    result: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Probed:
+    """What a probe found."""
+
+    instance_id: str
+    alive: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Retired:
+    """An endpoint that has left the list holds no attempt any more."""
+
+    instance_id: str
+
+
+FromEndpoint = Started | Ended | Probed | Retired
+
+
+class _Phase(Enum):
+    CONNECTING = auto()  # nothing of it is written
+    WRITTEN = auto()  # some of it may be
+    ACCEPTED = auto()  # 202
+
+
+@dataclass(slots=True, eq=False)
+class _Attempt:
+    job: int
+    number: int
+    request: JobRequest
+    until_us: int
+    final: bool
+    sent_us: int
+    phase: _Phase = _Phase.CONNECTING
+    exchange: asyncio.Task[Any] | None = None
+    timer: asyncio.TimerHandle | None = None
+    over: bool = False
+    withdrawn: bool = False
+
+
+class _NotWrittenError(Exception):
+    """The endpoint may get nothing new by now; not a byte of the request went out."""
+
+
+_current: ContextVar[tuple["Endpoint", _Attempt] | None] = ContextVar("current attempt", default=None)
+
+
+class _CheckedRequest(aiohttp.ClientRequest):
+    """Looks at the list again once a connection is there, at the moment of the write.
+
+    A connect takes up to its time-out, in which the endpoint may have been told to leave; and up to here
+    nothing is written, which is what proves that a job never ran.
+    """
+
+    async def send(self, conn: Connection) -> ClientResponse:
+        if current := _current.get():
+            endpoint, attempt = current
+            if attempt.over or not endpoint.open:
+                raise _NotWrittenError
+            attempt.phase = _Phase.WRITTEN
+        return await super().send(conn)
+
+
+class Endpoint(Actor[ToEndpoint]):
+    """One worker of the destination set."""
+
+    def __init__(
+        self,
+        destination: Destination,
+        supervisor: Supervisor,
+        clock: Clock,
+        connect_timeout_us: int,
+        keepalive_us: int,
+        report: Callable[[FromEndpoint], None],
+    ) -> None:
+        super().__init__(f"endpoint {destination.instance_id}", supervisor)
+        self.destination = destination
+        self.clock = clock
+        self.report = report
+        self.connect_timeout_s = connect_timeout_us / 1e6
+        self.retire_s = keepalive_us * RETIRE_SHARE / 1e6
+        self.attempts: dict[str, _Attempt] = {}
+        # (request, state) of calls that ended an attempt here: told again, they are of that attempt.
+        self.endings: dict[tuple[str, JobState], None] = {}
+        self.session = self._new_session()
+
+    @property
+    def open(self) -> bool:
+        """Whether it may get anything new."""
+        return self.destination.lifecycle is Lifecycle.ACTIVE
+
+    def _new_session(self) -> aiohttp.ClientSession:
+        session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, limit_per_host=0, keepalive_timeout=self.retire_s),
+            request_class=_CheckedRequest,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=self.connect_timeout_s),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
+            auto_decompress=False,
+        )
+        # The client sends idempotent requests again after a broken connection; nothing here may go out twice.
+        session._retry_connection = False
+        return session
+
+    def receive(self, message: ToEndpoint) -> None:
+        match message:
+            case Dispatch():
+                self._dispatch(message)
+            case JobEvent():
+                self._job_event(message)
+            case Withdraw():
+                self._withdraw(message)
+            case Destination():
+                moved = message.host_port != self.destination.host_port
+                self.destination = message
+                if moved:
+                    self._close_idle()
+                self._retire()
+            case Probe():
+                self.supervisor.spawn(self._probe(), f"probe {self.name}")
+            case CloseIdle():
+                self._close_idle()
+
+    def _url(self, target: str) -> URL:
+        return URL(f"http://{self.destination.host_port}{target}", encoded=True)
+
+    # Attempts
+
+    def _dispatch(self, message: Dispatch) -> None:
+        request, now = message.request, self.clock.now_us()
+        attempt = _Attempt(message.job, message.attempt, request, message.until_us, message.final, now)
+        self.attempts[request.id] = attempt
+        delay_s = max(0, message.until_us - now) / 1e6
+        attempt.timer = asyncio.get_running_loop().call_later(delay_s, self._timed_out, attempt)
+        attempt.exchange = self.supervisor.spawn(self._exchange(attempt), f"attempt {request.id}")
+
+    async def _exchange(self, attempt: _Attempt) -> None:
+        """Hand the job over; what the answer or its absence proves is PROTOCOL's table."""
+        request = attempt.request
+        _current.set((self, attempt))
+        headers = dict(request.headers)
+        headers[messages.TIMEOUT] = messages.write_timeout(attempt.until_us - self.clock.now_us())
+        try:
+            async with self.session.post(
+                self._url(request.target), data=request.body, headers=headers, allow_redirects=False
+            ) as response:
+                # Told before the rest of the answer: a cancel from now on is a DELETE.
+                if response.status == 202:
+                    attempt.phase = _Phase.ACCEPTED
+                await response.read()
+        except _NotWrittenError:
+            self._end(attempt, Outcome.CONNECT_FAILED)
+            return
+        except (aiohttp.ClientError, OSError, TimeoutError) as e:
+            if attempt.phase is _Phase.CONNECTING:
+                self._end(attempt, Outcome.CONNECT_FAILED)
+            elif attempt.phase is _Phase.WRITTEN:
+                self._end(attempt, Outcome.RESET)
+            log.debug("attempt_broke", extra={"id": request.id, "endpoint": self.name, "why": repr(e)})
+            return
+        if response.status == 202:
+            return
+        unprocessed = response.headers.get(messages.NOT_PROCESSED) == "1"
+        if response.status in (503, 504) and unprocessed:
+            self._end(attempt, Outcome.FULL)
+            return
+        if response.status != 500:
+            log.warning(
+                "unexpected_answer",
+                extra={"endpoint": self.destination.instance_id, "status": response.status, "id": request.id},
+            )
+        self._end(attempt, Outcome.ERROR)
+
+    def _end(self, attempt: _Attempt, outcome: Outcome, result: str | None = None) -> None:
+        """The first ending counts; whatever else comes is late."""
+        if attempt.over:
+            return
+        attempt.over = True
+        if attempt.timer:
+            attempt.timer.cancel()
+        exchange = attempt.exchange
+        if exchange and not exchange.done() and exchange is not asyncio.current_task():
+            # Its 202 may still come and free the connection; from a silent endpoint it never does.
+            asyncio.get_running_loop().call_later(LINGER_S, exchange.cancel)
+        if self.attempts.get(attempt.request.id) is attempt:
+            del self.attempts[attempt.request.id]
+        took_us = self.clock.now_us() - attempt.sent_us
+        self.report(Ended(attempt.job, attempt.number, outcome, took_us, result))
+        self._retire()
+
+    def _job_event(self, event: JobEvent) -> None:
+        attempt = self.attempts.get(event.id)
+        if attempt is None or attempt.phase is _Phase.CONNECTING:
+            return  # late, repeated or unknown: it is of no attempt that is out here
+        if event.state is JobState.STARTED:
+            self.report(Started(attempt.job, attempt.number))
+        elif event.state is JobState.RUNNING:
+            self.report(Started(attempt.job, attempt.number, event.share))
+        elif event.state is JobState.DONE:
+            self._end(attempt, Outcome.COMPLETED, event.result)
+        else:
+            outcome = _ENDINGS[event.state]
+            # The same word about a second attempt here may be the first one's, told again: it proves nothing.
+            if outcome.never_ran and (event.id, event.state) in self.endings:
+                outcome = Outcome.RESET
+            self.endings[event.id, event.state] = None
+            if len(self.endings) > 4096:
+                del self.endings[next(iter(self.endings))]
+            self._end(attempt, outcome)
+
+    def _timed_out(self, attempt: _Attempt) -> None:
+        if attempt.over:
+            return
+        if attempt.final:
+            self._end(attempt, Outcome.TIMEOUT)  # the client's answer is due now; it is not sent again
+            self.supervisor.spawn(self._call_off(attempt), f"cancel {attempt.request.id}")
+        elif not attempt.withdrawn:
+            attempt.withdrawn = True
+            self.supervisor.spawn(self._give_up(attempt, Outcome.TIMEOUT), f"cancel {attempt.request.id}")
+
+    def _withdraw(self, message: Withdraw) -> None:
+        for attempt in self.attempts.values():
+            if (attempt.job, attempt.number) == (message.job, message.attempt) and not attempt.withdrawn:
+                attempt.withdrawn = True
+                self.supervisor.spawn(
+                    self._give_up(attempt, Outcome.CANCELLED), f"cancel {attempt.request.id}"
+                )
+                break
+
+    async def _give_up(self, attempt: _Attempt, outcome: Outcome) -> None:
+        """Called off first, told afterwards: the request must not be out twice."""
+        await self._call_off(attempt)
+        self._end(attempt, outcome)
+
+    async def _call_off(self, attempt: _Attempt) -> None:
+        """Close the connection before the 202, else DELETE the job and wait for the answer."""
+        exchange = attempt.exchange
+        if attempt.phase is not _Phase.ACCEPTED:
+            if exchange and not exchange.done():
+                exchange.cancel()
+                await asyncio.wait([exchange])
+                await asyncio.sleep(0)  # the socket closes in the turn after its transport
+            return
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S, sock_connect=self.connect_timeout_s)
+        target = f"/jobs/{attempt.request.id}"
+        try:
+            async with self.session.delete(self._url(target), timeout=timeout) as response:
+                await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as e:
+            log.warning(
+                "cancel_unanswered",
+                extra={"endpoint": self.destination.instance_id, "id": attempt.request.id, "why": repr(e)},
+            )
+
+    # The rest
+
+    async def _probe(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S, sock_connect=self.connect_timeout_s)
+        try:
+            async with self.session.get(self._url("/health"), timeout=timeout) as response:
+                await response.read()
+                alive = response.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            alive = False
+        self.report(Probed(self.destination.instance_id, alive))
+
+    def _close_idle(self) -> None:
+        """A new set of connections; the old one goes once what it carries is over."""
+        old, self.session = self.session, self._new_session()
+        carried = [a.exchange for a in self.attempts.values() if a.exchange and not a.exchange.done()]
+        self.supervisor.spawn(_close_after(old, carried), f"close {self.name}")
+
+    def _retire(self) -> None:
+        if self.destination.lifecycle is Lifecycle.LEFT and not self.attempts:
+            self.report(Retired(self.destination.instance_id))
+
+    async def close(self) -> None:
+        await self.session.close()
+
+
+async def _close_after(session: aiohttp.ClientSession, carried: list[asyncio.Task[Any]]) -> None:
+    if carried:
+        await asyncio.wait(carried)
+    await session.close()
--- /dev/null
+++ b/robinhill/net/messages.py
@@ -0,0 +1,218 @@
+"""The platform's messages as small typed values: each is decoded once and encoded once, here."""
+
+import math
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+import orjson
+
+MAX_BODY = 64 * 1024
+
+REQUEST_ID = "X-Request-ID"
+CLASS = "X-Priority-Class"
+TIMEOUT = "X-Timeout"
+RETRIED = "X-Retried"
+NOT_PROCESSED = "X-Not-Processed"
+# Headers of a request that go on to its endpoint as they came.
+PASSED_ON = (REQUEST_ID, CLASS, RETRIED, "X-Route-Key", "X-Attrs", "Content-Type", "Content-Encoding")
+
+_TIMEOUT_FORM = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])", re.ASCII)
+_UNITS_US = {"m": 1000, "u": 1}
+_ID_FORM = re.compile(r"[!-~]{1,128}", re.ASCII)
+
+
+class MalformedError(Exception):
+    """A peer's message is not what the protocol says."""
+
+
+@dataclass(slots=True, frozen=True)
+class JobRequest:
+    """A client's request as it came; ``target`` is path and query."""
+
+    id: str
+    job_class: int
+    time_left_us: int
+    client_repeat: bool
+    target: str
+    body: bytes
+    headers: tuple[tuple[str, str], ...]
+
+
+def read_request(
+    target: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    classes: tuple[str, ...],
+    deadlines_us: tuple[int, ...],
+) -> JobRequest:
+    """Decode a client's request; without a time-out it has its class's."""
+    wire_id = headers.get(REQUEST_ID, "")
+    if not _ID_FORM.fullmatch(wire_id):
+        raise MalformedError(f"{REQUEST_ID} must be 1 to 128 printable characters")
+    if not target.startswith("/"):
+        raise MalformedError("the target must be a path")
+    name = headers.get(CLASS) or target[1:].partition("?")[0].partition("/")[0]
+    if name not in classes:
+        raise MalformedError(f"{CLASS} names no class of this deployment: {name[:64]!r}")
+    job_class = classes.index(name)
+    left = read_timeout(headers[TIMEOUT]) if TIMEOUT in headers else deadlines_us[job_class]
+    passed = tuple((key, headers[key]) for key in PASSED_ON if key in headers)
+    return JobRequest(wire_id, job_class, left, headers.get(RETRIED) == "1", target, body, passed)
+
+
+def read_timeout(text: str) -> int:
+    """``480m`` (milliseconds) or ``480000u`` (microseconds) as microseconds."""
+    if not (form := _TIMEOUT_FORM.fullmatch(text.strip())):
+        raise MalformedError(f"{TIMEOUT} must be a number and m or u, is {text[:32]!r}")
+    return int(float(form[1]) * _UNITS_US[form[2]])
+
+
+def write_timeout(left_us: int) -> str:
+    return f"{max(1, left_us)}u"
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """The one final answer to a request."""
+
+    status: int
+    body: bytes
+    retry_after_us: int = 0
+
+    def headers(self) -> dict[str, str]:
+        return {"Retry-After": f"{self.retry_after_us / 1e6:.3f}"} if self.retry_after_us else {}
+
+
+def served(result: str) -> Answer:
+    """An endpoint's result for the client."""
+    return Answer(200, result.encode())
+
+
+def fail_fast(retry_after_us: int = 0) -> Answer:
+    """Refused: trying again does no harm."""
+    return Answer(503, b"refused, safe to try again\n", retry_after_us)
+
+
+CONFLICT = Answer(409, b"a request of this id is held already\n")
+FAILED = Answer(502, b"failed, may have run\n")
+
+
+class JobState(Enum):
+    """What an endpoint says of a job."""
+
+    STARTED = "started"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    RETURNED = "returned"
+    LOST = "lost"
+
+
+@dataclass(slots=True, frozen=True)
+class JobEvent:
+    """An endpoint's call about a job; ``source`` is the endpoint's identity."""
+
+    id: str
+    source: str
+    state: JobState
+    share: float = 0.0
+    result: str = ""
+
+
+def read_job_event(body: bytes) -> JobEvent:
+    """Decode one call to /v1/job-events."""
+    data = _load(body)
+    wire_id, source, result = data.get("id"), data.get("from"), data.get("result", "")
+    if not (isinstance(wire_id, str) and isinstance(source, str)):
+        raise MalformedError("id and from must be text")
+    try:
+        state = JobState(data.get("state"))
+    except ValueError:
+        raise MalformedError(f"unknown state {str(data.get('state'))[:32]!r}") from None
+    if state is JobState.DONE and not isinstance(data.get("result"), str):
+        raise MalformedError("done needs a result")
+    share = _number(data.get("share", 0.0), "share")
+    return JobEvent(wire_id, source, state, share, result if isinstance(result, str) else "")
+
+
+class Lifecycle(Enum):
+    """Where an endpoint stands on discovery's list."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+    LEFT = "left"
+
+
+@dataclass(slots=True, frozen=True)
+class Destination:
+    """One entry of the destination set; ``instance_id`` is its identity, ``host_port`` may move."""
+
+    instance_id: str
+    host_port: str
+    zone: str
+    machine_type: str
+    cell: int
+    lifecycle: Lifecycle
+    weight: float
+    started_us: int
+
+
+@dataclass(slots=True, frozen=True)
+class DestinationList:
+    """The destination set at a version: whole after a ``reset``, else what changed."""
+
+    generation: int
+    reset: bool
+    destinations: tuple[Destination, ...]
+
+
+def read_destination_line(line: bytes) -> DestinationList:
+    """Decode one line of a watch."""
+    return read_destinations(_load(line))
+
+
+def read_destinations(data: object) -> DestinationList:
+    """Decode discovery's list."""
+    if not isinstance(data, dict):
+        raise MalformedError("must be an object")
+    generation, reset, instances = data.get("generation"), data.get("reset", False), data.get("instances", [])
+    if type(generation) is not int or type(reset) is not bool or not isinstance(instances, list):
+        raise MalformedError("generation must be a whole number, reset true or false, instances a list")
+    return DestinationList(generation, reset, tuple(_destination(x) for x in instances))
+
+
+def _destination(data: object) -> Destination:
+    if not isinstance(data, dict):
+        raise MalformedError("instances must hold objects")
+    texts = [data.get(key) for key in ("instanceId", "hostPort", "zone", "machineType")]
+    if not all(isinstance(x, str) for x in texts):
+        raise MalformedError("instanceId, hostPort, zone and machineType must be text")
+    instance_id, host_port, zone, machine_type = map(str, texts)
+    host, _, port = host_port.rpartition(":")
+    if not (instance_id and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise MalformedError(f"hostPort must be host:port, is {host_port[:64]!r}")
+    try:
+        lifecycle = Lifecycle(data.get("lifecycle"))
+    except ValueError:
+        raise MalformedError(f"unknown lifecycle {str(data.get('lifecycle'))[:32]!r}") from None
+    started_us = int(_number(data.get("startedAtMs", 0), "startedAtMs") * 1000)
+    cell, weight = int(_number(data.get("cell", 0), "cell")), _number(data.get("weight", 1.0), "weight")
+    return Destination(instance_id, host_port, zone, machine_type, cell, lifecycle, weight, started_us)
+
+
+def _load(data: bytes) -> dict[str, object]:
+    try:
+        value = orjson.loads(data)
+    except orjson.JSONDecodeError as e:
+        raise MalformedError(f"not JSON: {e}") from e
+    if not isinstance(value, dict):
+        raise MalformedError("must be an object")
+    return value
+
+
+def _number(value: object, name: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise MalformedError(f"{name} must be a number")
+    return value
--- /dev/null
+++ b/robinhill/net/scheduler.py
@@ -0,0 +1,75 @@
+"""The embeddable scheduler: ``start`` it, ``drain`` it, ``close`` it; or ``run`` does all three."""
+
+import asyncio
+import logging
+import signal
+
+from robinhill.config import Config
+from robinhill.net.actor import Supervisor
+from robinhill.net.clock import Clock
+from robinhill.net.decider import Decider
+from robinhill.net.destinations import Destinations, Watch
+from robinhill.net.inbound import Inbound
+
+log = logging.getLogger(__name__)
+
+TAKE_ON_S = 0.7  # after SIGTERM: what still arrives in this time is taken
+FLUSH_S = 0.05  # for the last answers to leave
+
+
+class Scheduler:
+    """One scheduler: the decider with its endpoints, the destination set and the inbound side."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.clock = Clock()
+        self.supervisor = Supervisor()
+        self.decider = Decider(config, self.supervisor, self.clock, lambda: self.destinations.tell(Watch()))
+        self.destinations = Destinations(
+            config.discovery, config.known.generation, self.supervisor, self.decider.tell
+        )
+        self.inbound = Inbound(config, self.clock, self.decider.tell)
+
+    async def start(self) -> None:
+        self.destinations.start()
+        self.decider.start()
+        await self.inbound.start()
+        log.info("started", extra={"scheduler": self.config.name, "listen": self.config.listen})
+
+    async def drain(self) -> None:
+        """Take requests a little longer, then refuse new ones, until all that was taken is answered.
+
+        The listener stays up: endpoints call back at the clients' address.
+        """
+        log.info("draining", extra={"owed": self.inbound.owed})
+        self.inbound.leaving = True
+        await asyncio.sleep(TAKE_ON_S)
+        self.inbound.closed_to_new = True
+        await self.inbound.none_owed.wait()
+        await asyncio.sleep(FLUSH_S)
+
+    async def close(self) -> None:
+        await self.inbound.close()
+        await self.supervisor.close()
+        await self.decider.close()
+        log.info("stopped")
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then drain. An actor's death raises its error."""
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        await self.start()
+        try:
+            await self._unless_failed(stop.wait())
+            await self._unless_failed(self.drain())
+        finally:
+            await self.close()
+
+    async def _unless_failed(self, work) -> None:  # type: ignore[no-untyped-def]
+        task = asyncio.ensure_future(work)
+        await asyncio.wait([task, self.supervisor.failed], return_when=asyncio.FIRST_COMPLETED)
+        if self.supervisor.failed.done():
+            task.cancel()
+            self.supervisor.failed.result()
+        await task
