Add recorded exchanges played against the started program; bound a cancel's wait

A player in tests/test_exchanges.py takes the part of clients, endpoints and discovery; the files in tests/exchanges/ hold the bytes. They showed one fault: a body announced as over 64 KiB was only refused once it had come, so a client that waited after its headers got no 413; inbound.py now looks at the announced length first.

A silent endpoint held a job that was being moved for 1 s more, the time a DELETE waited (endpoint.py, CANCEL_TIMEOUT_S). It is now what a connect may take.

--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -25,7 +25,6 @@
     0.6  # idle connections close at this share of the endpoint's own limit: no send may meet its close
 )
 PROBE_TIMEOUT_S = 1.0
-CANCEL_TIMEOUT_S = 1.0
 LINGER_S = 2.0  # how long a connection waits for the 202 of a job that is over
 _ENDINGS = {JobState.FAILED: Outcome.ERROR, JobState.RETURNED: Outcome.FULL, JobState.LOST: Outcome.RESET}
 
@@ -330,7 +329,7 @@
                 await asyncio.wait([exchange])
                 await asyncio.sleep(0)  # the socket closes in the turn after its transport
             return
-        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S, sock_connect=self.connect_timeout_s)
+        timeout = aiohttp.ClientTimeout(total=self.connect_timeout_s)
         target = f"/jobs/{attempt.request.id}"
         try:
             async with self.session.delete(self._url(target), timeout=timeout) as response:
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -17,6 +17,7 @@
 JOB_EVENTS = "/v1/job-events"
 READY = "/ready"
 BACKLOG = 1024
+TOO_LARGE = f"a body holds at most {messages.MAX_BODY} bytes"
 
 
 class Inbound:
@@ -70,6 +71,8 @@
                 return self._respond(Answer(503 if self.leaving else 200, b""))
             if request.method != "POST":
                 return self._reject(request, 405, "jobs come by POST")
+            if (request.content_length or 0) > messages.MAX_BODY:
+                return self._reject(request, 413, TOO_LARGE)  # before its body comes
             if path == JOB_EVENTS:
                 self.report(messages.read_job_event(await request.read()))
                 return web.Response(status=204)
@@ -77,7 +80,7 @@
         except messages.MalformedError as e:
             return self._reject(request, 400, str(e))
         except web.HTTPRequestEntityTooLarge:
-            return self._reject(request, 413, f"a body holds at most {messages.MAX_BODY} bytes")
+            return self._reject(request, 413, TOO_LARGE)
 
     async def _job(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_us = self.clock.now_us()
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -45,6 +45,7 @@
         self.inbound.leaving = True
         await asyncio.sleep(TAKE_ON_S)
         self.inbound.closed_to_new = True
+        log.info("refusing", extra={"owed": self.inbound.owed})
         await self.inbound.none_owed.wait()
         await asyncio.sleep(FLUSH_S)
 
--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,296 @@
+"""Plays the recorded exchanges of tests/exchanges/ against the started program, over loopback.
+
+The player takes the part of clients (connections named c1, c2 ...), endpoints (w1.1 is the first connection
+that w1 gets) and discovery (d.1). A file holds steps, each with the bytes of a message below it:
+
+    workers w1 w2           the list known at the start; an endpoint called down-* refuses connections,
+                            one called full-* lets none come up until `admit`
+    set {...}               changes to the settings
+    send NAME / expect NAME a message, with Content-Length filled in; * in an expected line is anything
+    close NAME / closed NAME / admit WORKER / none WORKER (no connection has come) / log EVENT
+    term / exit CODE        SIGTERM, and the end of the program
+
+and short forms of the messages that served.txt spells out:
+
+    job C CLASS ID TIMEOUT  a client's request
+    take W.N ID [STATUS]    the endpoint gets it (and answers)
+    event W ID STATE [TEXT] the endpoint's call about it, answered 204
+    answer C STATUS [BODY]  what the client gets
+
+``{w1}`` stands for an endpoint's address. Waiting is always for bytes, a log line or an end.
+"""
+
+import contextlib
+import json
+import queue
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+from fnmatch import fnmatchcase
+from itertools import chain
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+FILES = sorted((ROOT / "tests" / "exchanges").glob("*.txt"))
+WORDS = "workers|set|send|expect|close|closed|admit|none|log|term|exit|job|take|event|answer"
+STEP = re.compile(rf"^({WORDS})\b ?(.*)$")
+PATIENCE_S = 10
+SETTINGS: dict[str, Any] = {
+    "areas": ["brisbane", "townsville"],
+    "shapes": ["std-8", "slow-8"],
+    "fleet-size": 1,
+    "discovery": "subscribe",
+    "classes": [
+        {"name": "member-lookup", "aim-us": 300000, "hard-limit-us": 7500000, "repeat": "retryable"},
+        {"name": "renewal-charge", "aim-us": 750000, "hard-limit-us": 25000000, "repeat": "fragile"},
+    ],
+    "guarantees": {
+        "drain-grace-us": 500000, "cold-from": 0.32, "cold-us": 8800000, "fall-multiple": 3.0,
+        "tip-after-us": 1000000,
+    },
+    "policy-limits": {
+        "most-tries": 4, "connect-timeout-us": 200000, "keepalive-us": 15000000,
+        "max-retry-after-us": 2000000, "retry-after": True, "probes": True,
+    },
+    "prices": {"cross-zone": 0.1, "waste": 0.02},
+    "specifics": {"class-stretch": [2.5, 2.5], "tells-start": True},
+}  # fmt: skip
+
+
+def listener() -> socket.socket:
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    sock.settimeout(PATIENCE_S)
+    return sock
+
+
+def address(sock: socket.socket) -> str:
+    return "{}:{}".format(*sock.getsockname())
+
+
+def merge(into: dict[str, Any], changes: dict[str, Any]) -> None:
+    for key, value in changes.items():
+        if isinstance(value, dict):
+            merge(into.setdefault(key, {}), value)
+        else:
+            into[key] = value
+
+
+class Connection:
+    """One side of a connection; reads whole messages."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        sock.settimeout(PATIENCE_S)
+        self.sock, self.file = sock, sock.makefile("rb")
+
+    def message(self) -> str:
+        lines = []
+        while (line := self.file.readline().decode()) and line != "\r\n":
+            lines.append(line.rstrip("\r\n"))
+        assert line, f"the connection ended after {lines}"
+        length = next((int(x.split(":")[1]) for x in lines if x.lower().startswith("content-length:")), 0)
+        lines = [x for x in lines if not x.startswith(("Date:", "Server:"))]
+        return "\n".join([*lines, "", self.file.read(length).decode()]).rstrip("\n")
+
+
+class Player:
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.ports: dict[str, socket.socket] = {"d": listener(), "s": listener()}
+        self.fillers: dict[str, list[socket.socket]] = {}
+        self.peers: dict[str, Connection] = {}
+        self.settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
+        self.program: subprocess.Popen[str] | None = None
+        self.logged: queue.Queue[str] = queue.Queue()
+        self.ports["d"].listen()
+
+    def workers(self, names: str, block: str) -> None:
+        for name in names.split():
+            sock = self.ports[name] = listener()
+            if not name.startswith("down"):
+                sock.listen(0 if name.startswith("full") else 16)
+            if name.startswith("full"):
+                self.fillers[name] = [socket.create_connection(sock.getsockname())]
+
+    def set(self, changes: str, block: str) -> None:
+        merge(self.settings, json.loads(changes))
+
+    def run(self) -> None:
+        entry = {"zone": "brisbane", "machineType": "std-8", "lifecycle": "active"}
+        known = [
+            {"instanceId": name, "hostPort": address(sock), "weight": 1.0, **entry}
+            for name, sock in self.ports.items()
+            if name not in "ds"
+        ]
+        self.ports["s"].close()
+        listen = f"127.0.0.1:{self.at[1]}"
+        config = {
+            "name": "n1", "listen": listen, "discovery": address(self.ports["d"]), "seed": "7",
+            "known": {"generation": 41, "reset": True, "instances": known}, "settings": self.settings,
+        }  # fmt: skip
+        path = self.folder / "config.json"
+        path.write_text(json.dumps(config))
+        self.program = subprocess.Popen(
+            [sys.executable, "-m", "robinhill"], env={"GW_CONFIG": str(path)}, cwd=ROOT, text=True,
+            stderr=subprocess.PIPE,
+        )  # fmt: skip
+        threading.Thread(target=self._read_log, args=(self.program,), daemon=True).start()
+        self.log("started", "")
+
+    def _read_log(self, program: subprocess.Popen[str]) -> None:
+        assert program.stderr
+        for line in program.stderr:
+            self.logged.put(line)
+
+    def peer(self, name: str) -> Connection:
+        if name not in self.peers:
+            if "." in name:
+                self.peers[name] = Connection(self.ports[name.split(".")[0]].accept()[0])
+            else:
+                self.peers[name] = Connection(socket.create_connection(self.at))
+        return self.peers[name]
+
+    def fill(self, text: str) -> str:
+        return re.sub(r"\{(\w[\w-]*)\}", lambda m: address(self.ports[m[1]]), text)
+
+    def send(self, name: str, block: str) -> None:
+        head, _, body = self.fill(block).partition("\n\n")
+        if "Content-Length: *" in head:
+            head = head.replace("Content-Length: *", f"Content-Length: {len(body)}")
+        data = head.replace("\n", "\r\n") + "\r\n\r\n" + body
+        if "\n" not in block and "HTTP" not in block:  # a line of a watch, as a chunk
+            line = self.fill(block) + "\n"
+            data = f"{len(line):x}\r\n{line}\r\n"
+        self.peer(name).sock.sendall(data.encode())
+
+    def expect(self, name: str, block: str) -> None:
+        got, wanted = self.peer(name).message(), self.fill(block)
+        lines = list(zip(got.split("\n"), wanted.split("\n"), strict=False))
+        same = got.count("\n") == wanted.count("\n") and all(fnmatchcase(a, b) for a, b in lines)
+        assert same, f"{name}: got\n{got}\n\nwanted\n{wanted}"
+
+    def job(self, words: str, block: str) -> None:
+        client, job_class, wire_id, timeout = words.split()
+        head = f"POST /{job_class}/x HTTP/1.1\nHost: s\nX-Request-ID: {wire_id}\nX-Timeout: {timeout}\n"
+        self.send(client, head + f"X-Priority-Class: {job_class}\nContent-Length: *\n\nwork")
+
+    def take(self, words: str, block: str) -> None:
+        name, wire_id, *status = words.split()
+        head = f"POST /*/x HTTP/1.1\nHost: {{{name.split('.')[0]}}}\nX-Request-ID: {wire_id}\n"
+        self.expect(name, head + "X-Priority-Class: *\nX-Timeout: *u\nContent-Length: 4\n\nwork")
+        if status:
+            extra = "".join(f"{x.replace(':', ': ')}\n" for x in status[1:])
+            self.send(name, f"HTTP/1.1 {status[0]} X\n{extra}Content-Length: 0")
+
+    def event(self, words: str, block: str) -> None:
+        source, wire_id, state, *text = words.split()
+        body = json.dumps({"id": wire_id, "from": source, "state": state, "result": "".join(text)})
+        self.send("events", f"POST /v1/job-events HTTP/1.1\nHost: x\nContent-Length: *\n\n{body}")
+        self.expect("events", "HTTP/1.1 204 No Content")
+
+    def answer(self, words: str, block: str) -> None:
+        name, status, *body = words.split()
+        got = self.peer(name).message().split("\n")
+        assert got[0].split()[1] == status and (not body or got[-1] == body[0]), got
+        for line in filter(None, block.split("\n")):
+            assert any(fnmatchcase(x, line) for x in got), f"no {line} in {got}"
+
+    def close(self, name: str, block: str) -> None:
+        peer = self.peers[name]
+        peer.file.close()
+        peer.sock.close()
+
+    def closed(self, name: str, block: str) -> None:
+        with contextlib.suppress(ConnectionResetError):
+            assert self.peer(name).file.read() == b""
+
+    def admit(self, name: str, block: str) -> None:
+        self.ports[name].accept()
+        for sock in self.fillers.pop(name):
+            sock.close()
+
+    def none(self, name: str, block: str) -> None:
+        self.ports[name].setblocking(False)
+        with pytest.raises(BlockingIOError):
+            self.ports[name].accept()
+        self.ports[name].settimeout(PATIENCE_S)
+
+    def log(self, event: str, block: str) -> None:
+        seen: list[str] = []
+        while not seen or f"event={event}" not in seen[-1]:
+            try:
+                seen.append(self.logged.get(timeout=PATIENCE_S))
+            except queue.Empty:
+                pytest.fail(f"no {event} in the log: {seen}")
+
+    def term(self, _: str, block: str) -> None:
+        assert self.program
+        self.program.send_signal(signal.SIGTERM)
+        self.log("draining", "")
+
+    def exit(self, code: str, block: str) -> None:
+        assert self.program and self.program.wait(PATIENCE_S) == int(code)
+
+    def play(self, text: str) -> None:
+        self.at = self.ports["s"].getsockname()
+        steps: list[tuple[str, str, list[str]]] = []
+        for line in text.splitlines():
+            if found := STEP.match(line):
+                steps.append((found[1], found[2], []))
+            elif steps and not line.startswith("#"):
+                steps[-1][2].append(line)
+        for word, argument, block in steps:
+            if self.program is None and word not in ("workers", "set"):
+                self.run()
+            getattr(self, word)(argument, "\n".join(block).strip("\n"))
+
+    def stop(self) -> None:
+        for peer in self.peers.values():
+            peer.file.close()
+            peer.sock.close()
+        for sock in chain(self.ports.values(), *self.fillers.values()):
+            sock.close()
+        if self.program:
+            self.program.kill()
+            self.program.wait()
+
+
+@pytest.fixture
+def player(tmp_path: Path) -> Iterator[Player]:
+    made = Player(tmp_path)
+    yield made
+    made.stop()
+
+
+@pytest.mark.parametrize("file", FILES, ids=lambda f: f.stem)
+def test_exchange(file: Path, player: Player) -> None:
+    player.play(file.read_text())
+
+
+BAD = [
+    ({"GW_LISTEN": "nowhere"}, "GW_LISTEN"),
+    ({"GW_CONFIG": "/no/such/file"}, "GW_CONFIG"),
+    ({"GW_DISCOVERY": "127.0.0.1:0"}, "GW_DISCOVERY"),
+]
+
+
+@pytest.mark.parametrize("env, key", BAD)
+def test_bad_configuration_ends_with_one_line_that_names_the_key(
+    env: dict[str, str], key: str, tmp_path: Path
+) -> None:
+    path = tmp_path / "config.json"
+    listen, discovery = "127.0.0.1:1", "127.0.0.1:2"
+    path.write_text(json.dumps({"name": "n", "listen": listen, "discovery": discovery, "settings": SETTINGS}))
+    done = subprocess.run(
+        [sys.executable, "-m", "robinhill"], env={"GW_CONFIG": str(path)} | env, cwd=ROOT, text=True,
+        capture_output=True, check=False,
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stderr.startswith(f"robinhill: {key}: ")
+    assert done.stderr.count("\n") == 1
