Delete a job that was written before moving it; timers and endings go by mailbox

Seen in review of endpoint.py: _call_off only closed the connection when no 202 had come. A 202 already on its way crosses that close, the endpoint keeps the job, and the next send is a second copy. Also there: timers and exchanges changed an endpoint's state past its mailbox, where an error would have ended no program; they now send it messages. A watch line longer than the buffer is a lost watch instead of a crash.

--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -132,8 +132,7 @@
                 case api.Fail(job=job):
                     self._answer(job, messages.FAILED)
                 case api.Cancel(job=job, attempt=attempt):
-                    if (held := self.held.get(job)) and attempt < len(held.endpoints):
-                        self.endpoints[held.endpoints[attempt]].tell(ep.Withdraw(job, attempt))
+                    self._cancel(job, attempt)
                 case api.SetTimer(after_us=after, tag=tag):
                     asyncio.get_running_loop().call_later(after / 1e6, self.tell, Due(tag))
                 case api.Subscribe():
@@ -173,6 +172,15 @@
         final = until_us >= held.deadline_us
         self.endpoints[action.address].tell(ep.Dispatch(action.job, number, held.request, until_us, final))
 
+    def _cancel(self, job: int, attempt: int) -> None:
+        held = self.held.get(job)
+        if (
+            held
+            and attempt < len(held.endpoints)
+            and (endpoint := self.endpoints.get(held.endpoints[attempt]))
+        ):
+            endpoint.tell(ep.Withdraw(job, attempt))
+
     def _ended(self, ended: ep.Ended) -> None:
         held = self.held[ended.job]
         held.out -= 1
@@ -223,6 +231,9 @@
         if endpoint := self.endpoints.get(destination.instance_id):
             endpoint.tell(destination)
             return
+        if destination.lifecycle is Lifecycle.LEFT:
+            del self.destinations[destination.instance_id]
+            return
         settings = self.config.settings
         endpoint = ep.Endpoint(
             destination,
--- a/robinhill/net/destinations.py
+++ b/robinhill/net/destinations.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 1.0
+LONGEST_LINE = 4 << 20  # some 20,000 workers
 SILENCE_S = 4.5  # an empty line comes every 2 s; what discovery tells counts as told within 6 s
 
 
@@ -43,7 +44,8 @@
         try:
             await self._read()
             why = "ended"
-        except (aiohttp.ClientError, OSError, TimeoutError, messages.MalformedError) as e:
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, messages.MalformedError) as e:
+            # aiohttp raises ValueError for a line longer than its buffer
             why = f"{type(e).__name__}: {e}"
         log.warning("watch_lost", extra={"generation": self.generation, "why": why})
         self.watch = None
@@ -53,7 +55,7 @@
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_S)
         query = {"watch": "1", "after": str(self.generation)}
         async with (
-            aiohttp.ClientSession(timeout=timeout, read_bufsize=1 << 20) as session,
+            aiohttp.ClientSession(timeout=timeout, read_bufsize=LONGEST_LINE) as session,
             session.get(self.url, params=query, allow_redirects=False) as response,
         ):
             if response.status != 200:
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextvars import ContextVar
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -61,9 +61,6 @@
     """Close the connections that carry nothing."""
 
 
-ToEndpoint = Dispatch | Withdraw | Destination | JobEvent | Probe | CloseIdle
-
-
 # From the endpoint
 
 
@@ -126,6 +123,29 @@
     withdrawn: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class _Over:
+    """What became of an attempt, as its exchange or its cancel found."""
+
+    attempt: _Attempt
+    outcome: Outcome
+
+
+@dataclass(slots=True, frozen=True)
+class _Expired:
+    """An attempt's time is up."""
+
+    attempt: _Attempt
+
+
+@dataclass(slots=True, frozen=True)
+class _CallDone:
+    """A cancel or a probe is over."""
+
+
+ToEndpoint = Dispatch | Withdraw | Destination | JobEvent | Probe | CloseIdle | _Over | _Expired | _CallDone
+
+
 class _NotWrittenError(Exception):
     """The endpoint may get nothing new by now; not a byte of the request went out."""
 
@@ -170,6 +190,7 @@
         self.attempts: dict[str, _Attempt] = {}
         # (request, state) of calls that ended an attempt here: told again, they are of that attempt.
         self.endings: dict[tuple[str, JobState], None] = {}
+        self.calls = 0  # cancels and probes under way
         self.session = self._new_session()
 
     @property
@@ -205,9 +226,26 @@
                     self._close_idle()
                 self._retire()
             case Probe():
-                self.supervisor.spawn(self._probe(), f"probe {self.name}")
+                self._call(self._probe(), f"probe {self.name}")
             case CloseIdle():
                 self._close_idle()
+            case _Over(attempt=attempt, outcome=outcome):
+                self._end(attempt, outcome)
+            case _Expired(attempt=attempt):
+                self._expired(attempt)
+            case _CallDone():
+                self.calls -= 1
+                self._retire()
+
+    def _call(self, work: Coroutine[Any, Any, None], name: str) -> None:
+        """Run a cancel or a probe; the endpoint keeps its connections until it is over."""
+
+        async def call() -> None:
+            await work
+            self.tell(_CallDone())
+
+        self.calls += 1
+        self.supervisor.spawn(call(), name)
 
     def _url(self, target: str) -> URL:
         return URL(f"http://{self.destination.host_port}{target}", encoded=True)
@@ -219,7 +257,7 @@
         attempt = _Attempt(message.job, message.attempt, request, message.until_us, message.final, now)
         self.attempts[request.id] = attempt
         delay_s = max(0, message.until_us - now) / 1e6
-        attempt.timer = asyncio.get_running_loop().call_later(delay_s, self._timed_out, attempt)
+        attempt.timer = asyncio.get_running_loop().call_later(delay_s, self.tell, _Expired(attempt))
         attempt.exchange = self.supervisor.spawn(self._exchange(attempt), f"attempt {request.id}")
 
     async def _exchange(self, attempt: _Attempt) -> None:
@@ -236,28 +274,24 @@
                 if response.status == 202:
                     attempt.phase = _Phase.ACCEPTED
                 await response.read()
-        except _NotWrittenError:
-            self._end(attempt, Outcome.CONNECT_FAILED)
-            return
-        except (aiohttp.ClientError, OSError, TimeoutError) as e:
-            if attempt.phase is _Phase.CONNECTING:
-                self._end(attempt, Outcome.CONNECT_FAILED)
-            elif attempt.phase is _Phase.WRITTEN:
-                self._end(attempt, Outcome.RESET)
+        except (_NotWrittenError, aiohttp.ClientError, OSError, TimeoutError) as e:
             log.debug("attempt_broke", extra={"id": request.id, "endpoint": self.name, "why": repr(e)})
+            if attempt.phase is not _Phase.ACCEPTED:
+                unwritten = attempt.phase is _Phase.CONNECTING
+                self.tell(_Over(attempt, Outcome.CONNECT_FAILED if unwritten else Outcome.RESET))
             return
         if response.status == 202:
             return
         unprocessed = response.headers.get(messages.NOT_PROCESSED) == "1"
         if response.status in (503, 504) and unprocessed:
-            self._end(attempt, Outcome.FULL)
+            self.tell(_Over(attempt, Outcome.FULL))
             return
         if response.status != 500:
             log.warning(
                 "unexpected_answer",
                 extra={"endpoint": self.destination.instance_id, "status": response.status, "id": request.id},
             )
-        self._end(attempt, Outcome.ERROR)
+        self.tell(_Over(attempt, Outcome.ERROR))
 
     def _end(self, attempt: _Attempt, outcome: Outcome, result: str | None = None) -> None:
         """The first ending counts; whatever else comes is late."""
@@ -267,7 +301,7 @@
         if attempt.timer:
             attempt.timer.cancel()
         exchange = attempt.exchange
-        if exchange and not exchange.done() and exchange is not asyncio.current_task():
+        if exchange and not exchange.done():
             # Its 202 may still come and free the connection; from a silent endpoint it never does.
             asyncio.get_running_loop().call_later(LINGER_S, exchange.cancel)
         if self.attempts.get(attempt.request.id) is attempt:
@@ -296,48 +330,48 @@
                 del self.endings[next(iter(self.endings))]
             self._end(attempt, outcome)
 
-    def _timed_out(self, attempt: _Attempt) -> None:
-        if attempt.over:
-            return
-        if attempt.final:
+    def _expired(self, attempt: _Attempt) -> None:
+        if attempt.final and not attempt.over:
             self._end(attempt, Outcome.TIMEOUT)  # the client's answer is due now; it is not sent again
-            self.supervisor.spawn(self._call_off(attempt), f"cancel {attempt.request.id}")
-        elif not attempt.withdrawn:
-            attempt.withdrawn = True
-            self.supervisor.spawn(self._give_up(attempt, Outcome.TIMEOUT), f"cancel {attempt.request.id}")
+            self._call(self._call_off(attempt), f"cancel {attempt.request.id}")
+        else:
+            self._give_up(attempt, Outcome.TIMEOUT)
 
     def _withdraw(self, message: Withdraw) -> None:
         for attempt in self.attempts.values():
-            if (attempt.job, attempt.number) == (message.job, message.attempt) and not attempt.withdrawn:
-                attempt.withdrawn = True
-                self.supervisor.spawn(
-                    self._give_up(attempt, Outcome.CANCELLED), f"cancel {attempt.request.id}"
-                )
-                break
-
-    async def _give_up(self, attempt: _Attempt, outcome: Outcome) -> None:
+            if (attempt.job, attempt.number) == (message.job, message.attempt):
+                self._give_up(attempt, Outcome.CANCELLED)
+
+    def _give_up(self, attempt: _Attempt, outcome: Outcome) -> None:
         """Called off first, told afterwards: the request must not be out twice."""
-        await self._call_off(attempt)
-        self._end(attempt, outcome)
+        if not attempt.over and not attempt.withdrawn:
+            attempt.withdrawn = True
+            self._call(self._call_off(attempt, outcome), f"cancel {attempt.request.id}")
+
+    async def _call_off(self, attempt: _Attempt, outcome: Outcome | None = None) -> None:
+        """Close the connection if no 202 has come, and DELETE the job if it was written; then tell.
 
-    async def _call_off(self, attempt: _Attempt) -> None:
-        """Close the connection before the 202, else DELETE the job and wait for the answer."""
+        The 202 may have crossed the close: the endpoint has taken the job then, and only DELETE ends it.
+        """
         exchange = attempt.exchange
-        if attempt.phase is not _Phase.ACCEPTED:
-            if exchange and not exchange.done():
-                exchange.cancel()
-                await asyncio.wait([exchange])
-                await asyncio.sleep(0)  # the socket closes in the turn after its transport
-            return
+        if attempt.phase is not _Phase.ACCEPTED and exchange and not exchange.done():
+            exchange.cancel()
+            await asyncio.wait([exchange])
+            await asyncio.sleep(0)  # the socket closes in the turn after its transport
+        if attempt.phase is not _Phase.CONNECTING:
+            await self._delete(attempt.request.id)
+        if outcome:
+            self.tell(_Over(attempt, outcome))
+
+    async def _delete(self, wire_id: str) -> None:
         timeout = aiohttp.ClientTimeout(total=self.connect_timeout_s)
-        target = f"/jobs/{attempt.request.id}"
         try:
-            async with self.session.delete(self._url(target), timeout=timeout) as response:
+            async with self.session.delete(self._url(f"/jobs/{wire_id}"), timeout=timeout) as response:
                 await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as e:
             log.warning(
                 "cancel_unanswered",
-                extra={"endpoint": self.destination.instance_id, "id": attempt.request.id, "why": repr(e)},
+                extra={"endpoint": self.destination.instance_id, "id": wire_id, "why": repr(e)},
             )
 
     # The rest
@@ -359,7 +393,7 @@
         self.supervisor.spawn(_close_after(old, carried), f"close {self.name}")
 
     def _retire(self) -> None:
-        if self.destination.lifecycle is Lifecycle.LEFT and not self.attempts:
+        if self.destination.lifecycle is Lifecycle.LEFT and not self.attempts and not self.calls:
             self.report(Retired(self.destination.instance_id))
 
     async def close(self) -> None:
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import partial
 
 from aiohttp import web
 
@@ -17,6 +18,8 @@
 JOB_EVENTS = "/v1/job-events"
 READY = "/ready"
 BACKLOG = 1024
+KEEPALIVE_S = 75.0
+CROWDED_SHARE = 0.75  # of all descriptors
 TOO_LARGE = f"a body holds at most {messages.MAX_BODY} bytes"
 
 
@@ -39,15 +42,17 @@
         self._http: web.Server | None = None
 
     async def start(self) -> None:
+        loop = asyncio.get_running_loop()
         self._http = web.Server(
             self._handle,
-            request_factory=self._request,
+            request_factory=partial(web.BaseRequest, loop=loop, client_max_size=messages.MAX_BODY),
             handler_cancellation=True,
             auto_decompress=False,
             access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
         )
         listen = self.config.listen
-        self._server = await asyncio.get_running_loop().create_server(
+        self._server = await loop.create_server(
             self._http, listen.host, listen.port, backlog=BACKLOG, reuse_address=True
         )
 
@@ -58,12 +63,6 @@
             self._http.pre_shutdown()
             await self._http.shutdown(1.0)
 
-    def _request(self, message, payload, protocol, writer, task) -> web.BaseRequest:  # type: ignore[no-untyped-def]
-        loop = asyncio.get_running_loop()
-        return web.BaseRequest(
-            message, payload, protocol, writer, task, loop, client_max_size=messages.MAX_BODY
-        )
-
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
             path = request.rel_url.raw_path
@@ -106,10 +105,15 @@
 
     def _respond(self, answer: Answer) -> web.Response:
         response = web.Response(status=answer.status, body=answer.body, headers=answer.headers())
-        if self.leaving:
+        if self.leaving or self._crowded():
             response.force_close()
         return response
 
+    def _crowded(self) -> bool:
+        """Whether client connections come near the limit of descriptors: answers close theirs then."""
+        connections = len(self._http.connections) if self._http else 0
+        return connections > self.config.sockets * CROWDED_SHARE
+
     def _reject(self, request: web.BaseRequest, status: int, why: str) -> web.Response:
         log.warning("malformed", extra={"peer": request.remote, "status": status, "why": why})
         response = web.Response(status=status, text=why + "\n")
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 import signal
+from collections.abc import Coroutine
+from typing import Any
 
 from robinhill.config import Config
 from robinhill.net.actor import Supervisor
@@ -67,8 +69,8 @@
         finally:
             await self.close()
 
-    async def _unless_failed(self, work) -> None:  # type: ignore[no-untyped-def]
-        task = asyncio.ensure_future(work)
+    async def _unless_failed(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         await asyncio.wait([task, self.supervisor.failed], return_when=asyncio.FIRST_COMPLETED)
         if self.supervisor.failed.done():
             task.cancel()
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -5,7 +5,7 @@
 
     workers w1 w2           the list known at the start; an endpoint called down-* refuses connections,
                             one called full-* lets none come up until `admit`
-    set {...}               changes to the settings
+    set {...} / limits {..} changes to the settings, and the limits
     send NAME / expect NAME a message, with Content-Length filled in; * in an expected line is anything
     close NAME / closed NAME / admit WORKER / none WORKER (no connection has come) / log EVENT
     term / exit CODE        SIGTERM, and the end of the program
@@ -39,7 +39,7 @@
 
 ROOT = Path(__file__).parent.parent
 FILES = sorted((ROOT / "tests" / "exchanges").glob("*.txt"))
-WORDS = "workers|set|send|expect|close|closed|admit|none|log|term|exit|job|take|event|answer"
+WORDS = "workers|set|limits|send|expect|close|closed|admit|none|log|term|exit|job|take|event|answer"
 STEP = re.compile(rf"^({WORDS})\b ?(.*)$")
 PATIENCE_S = 10
 SETTINGS: dict[str, Any] = {
@@ -108,6 +108,7 @@
         self.peers: dict[str, Connection] = {}
         self.settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
         self.program: subprocess.Popen[str] | None = None
+        self.given: dict[str, int] = {}
         self.logged: queue.Queue[str] = queue.Queue()
         self.ports["d"].listen()
 
@@ -122,6 +123,9 @@
     def set(self, changes: str, block: str) -> None:
         merge(self.settings, json.loads(changes))
 
+    def limits(self, limits: str, block: str) -> None:
+        self.given = json.loads(limits)
+
     def run(self) -> None:
         entry = {"zone": "brisbane", "machineType": "std-8", "lifecycle": "active"}
         known = [
@@ -134,6 +138,7 @@
         config = {
             "name": "n1", "listen": listen, "discovery": address(self.ports["d"]), "seed": "7",
             "known": {"generation": 41, "reset": True, "instances": known}, "settings": self.settings,
+            "limits": self.given,
         }  # fmt: skip
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
@@ -247,7 +252,7 @@
             elif steps and not line.startswith("#"):
                 steps[-1][2].append(line)
         for word, argument, block in steps:
-            if self.program is None and word not in ("workers", "set"):
+            if self.program is None and word not in ("workers", "set", "limits"):
                 self.run()
             getattr(self, word)(argument, "\n".join(block).strip("\n"))
 
