Name the faulty key of every setting; refuse request text that can't be written again

Seen by sending odd bytes: a header value that is not UTF-8 reached the HTTP client's writer, whose UnicodeEncodeError ended the whole program (endpoint.py, _exchange, which only expects the network's errors). messages.py now refuses such headers, a target with blanks, a fragment or bytes outside ASCII, and discovery's host names that make no URL; ids are quoted in a cancel's path (malformed.txt, which fails without the check).

config.py checks each number of the settings before the module sees it, so that a wrong type names its key and not an operator of Python's; an address that can't be listened on names GW_LISTEN and exits with 2 (test_config.py). A dead actor's error no longer ends in a second trace after its log line. A cancel on a connection that breaks is shown not to be resent (cancel_broken.txt).

--- a/robinhill/__main__.py
+++ b/robinhill/__main__.py
@@ -6,6 +6,7 @@
 
 from robinhill import config
 from robinhill.net import keyvalue
+from robinhill.net.actor import ActorDiedError
 from robinhill.net.scheduler import Scheduler
 
 
@@ -14,15 +15,17 @@
 
 
 def main() -> int:
-    """Exit 0 after a drain, 2 for a faulty configuration; an actor's death is an error of its own."""
+    """Exit 0 after a drain, 1 after an actor's death, 2 for a faulty configuration."""
     keyvalue.configure()
     try:
         settings = config.load()
+        gc.freeze()
+        asyncio.run(serve(settings))
     except config.ConfigError as e:
         print(f"robinhill: {e}", file=sys.stderr)
         return 2
-    gc.freeze()
-    asyncio.run(serve(settings))
+    except ActorDiedError:
+        return 1
     return 0
 
 
--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -18,6 +18,19 @@
 from robinhill.settings import read_settings
 
 DEFAULT_SOCKETS = 1024
+# Numbers of the settings: those that must be there, and those that may. Of classes, for each.
+NEEDED = (
+    "fleet-size", "policy-limits.most-tries", "guarantees.drain-grace-us", "guarantees.cold-from",
+    "guarantees.cold-us", "guarantees.fall-multiple", "guarantees.tip-after-us",
+)  # fmt: skip
+OPTIONAL = (
+    "zone", "over-share-worth", "guarantees.ask-every-us", "policy-limits.connect-timeout-us",
+    "policy-limits.keepalive-us", "policy-limits.max-retry-after-us", "prices.cross-zone", "prices.waste",
+    "prices.handshake", "specifics.progress-us",
+)  # fmt: skip
+SECTIONS = ("policy-limits", "guarantees", "prices", "specifics")
+CLASS_NEEDED = ("aim-us", "hard-limit-us")
+CLASS_OPTIONAL = ("worth", "late-worth", "aim-stretch", "memory-span-us")
 
 
 class ConfigError(Exception):
@@ -60,6 +73,7 @@
     options = document.get("settings")
     if not isinstance(options, dict):
         raise ConfigError("settings", "must be an object")
+    settings = _settings(options)
     return Config(
         name=_text(env.get("GW_NAME") or document.get("name"), "GW_NAME"),
         listen=_address(env.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
@@ -67,8 +81,8 @@
         seed=_seed(document.get("seed", "0")),
         sockets=_sockets(document.get("limits", {})),
         known=_known(document.get("known")),
-        settings=_settings(options),
-        classes=_names([c.get("name") for c in options["classes"]], "settings.classes[].name"),
+        settings=settings,
+        classes=tuple(c["name"] for c in options["classes"]),
         zones=_names(options.get("areas", []), "settings.areas"),
         machine_types=_names(options.get("shapes", []), "settings.shapes"),
     )
@@ -140,8 +154,27 @@
     return value
 
 
+def _check_numbers(options: object, start: str, needed: tuple[str, ...], optional: tuple[str, ...]) -> None:
+    for path in (*needed, *optional):
+        value, key = options, start
+        for part in path.split("."):
+            if not isinstance(value, dict):
+                raise ConfigError(key, "must be an object")
+            value, key = value.get(part, {} if part in SECTIONS else None), f"{key}.{part}"
+        if value is not None or path in needed:
+            _number(value, key)
+
+
 def _settings(options: dict[str, Any]) -> api.Settings:
-    """The module's settings; its own words for what is missing or out of range name the key."""
+    """The module's settings; its own words for what is out of range name the key."""
+    classes = options.get("classes")
+    if not isinstance(classes, list) or not classes:
+        raise ConfigError("settings.classes", "must be a list of at least one class")
+    _check_numbers(options, "settings", NEEDED, OPTIONAL)
+    for number, job_class in enumerate(classes):
+        key = f"settings.classes[{number}]"
+        _check_numbers(job_class, key, CLASS_NEEDED, CLASS_OPTIONAL)
+        _text(job_class.get("name"), f"{key}.name")
     try:
         return read_settings(options)
     except KeyError as e:
--- a/robinhill/net/actor.py
+++ b/robinhill/net/actor.py
@@ -10,6 +10,10 @@
 Message = TypeVar("Message")
 
 
+class ActorDiedError(Exception):
+    """An actor or a task ended in an error, which has been logged."""
+
+
 class Supervisor:
     """Owns all tasks. One that ends in an error is logged and fails the whole program."""
 
@@ -30,7 +34,7 @@
             return
         log.critical("actor_died", exc_info=error, extra={"actor": task.get_name()})
         if not self.failed.done():
-            self.failed.set_exception(error)
+            self.failed.set_exception(ActorDiedError(task.get_name()))
 
     async def close(self) -> None:
         """Cancel what still runs and wait for its end."""
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -366,7 +366,9 @@
     async def _delete(self, wire_id: str) -> None:
         timeout = aiohttp.ClientTimeout(total=self.connect_timeout_s)
         try:
-            async with self.session.delete(self._url(f"/jobs/{wire_id}"), timeout=timeout) as response:
+            async with self.session.delete(
+                self._url(messages.cancel_target(wire_id)), timeout=timeout
+            ) as response:
                 await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError) as e:
             log.warning(
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from robinhill.config import Config
+from robinhill.config import Config, ConfigError
 from robinhill.net import messages
 from robinhill.net.clock import Clock
 from robinhill.net.decider import ClientLeft, Taken
@@ -52,9 +52,12 @@
             keepalive_timeout=KEEPALIVE_S,
         )
         listen = self.config.listen
-        self._server = await loop.create_server(
-            self._http, listen.host, listen.port, backlog=BACKLOG, reuse_address=True
-        )
+        try:
+            self._server = await loop.create_server(
+                self._http, listen.host, listen.port, backlog=BACKLOG, reuse_address=True
+            )
+        except OSError as e:
+            raise ConfigError("GW_LISTEN", f"can't listen on {listen}: {e.strerror}") from e
 
     async def close(self) -> None:
         if self._server:
--- a/robinhill/net/messages.py
+++ b/robinhill/net/messages.py
@@ -5,8 +5,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from urllib.parse import quote
 
 import orjson
+from yarl import URL
 
 MAX_BODY = 64 * 1024
 
@@ -20,6 +22,7 @@
 
 _TIMEOUT_FORM = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])", re.ASCII)
 _UNITS_US = {"m": 1000, "u": 1}
+_TARGET_FORM = re.compile(r"/[!\"$-~]*", re.ASCII)
 _ID_FORM = re.compile(r"[!-~]{1,128}", re.ASCII)
 
 
@@ -51,14 +54,17 @@
     wire_id = headers.get(REQUEST_ID, "")
     if not _ID_FORM.fullmatch(wire_id):
         raise MalformedError(f"{REQUEST_ID} must be 1 to 128 printable characters")
-    if not target.startswith("/"):
-        raise MalformedError("the target must be a path")
+    if not _TARGET_FORM.fullmatch(target):
+        raise MalformedError("the target must be a path of printable characters")
     name = headers.get(CLASS) or target[1:].partition("?")[0].partition("/")[0]
     if name not in classes:
         raise MalformedError(f"{CLASS} names no class of this deployment: {name[:64]!r}")
     job_class = classes.index(name)
     left = read_timeout(headers[TIMEOUT]) if TIMEOUT in headers else deadlines_us[job_class]
     passed = tuple((key, headers[key]) for key in PASSED_ON if key in headers)
+    if not all(value.isprintable() for _, value in passed):
+        # Such a value came as bytes that are not UTF-8 and can't be written again.
+        raise MalformedError("a header holds what is not printable text")
     return JobRequest(wire_id, job_class, left, headers.get(RETRIED) == "1", target, body, passed)
 
 
@@ -69,6 +75,10 @@
     return int(float(form[1]) * _UNITS_US[form[2]])
 
 
+def cancel_target(wire_id: str) -> str:
+    return f"/jobs/{quote(wire_id, safe='')}"
+
+
 def write_timeout(left_us: int) -> str:
     return f"{max(1, left_us)}u"
 
@@ -190,9 +200,8 @@
     if not all(isinstance(x, str) for x in texts):
         raise MalformedError("instanceId, hostPort, zone and machineType must be text")
     instance_id, host_port, zone, machine_type = map(str, texts)
-    host, _, port = host_port.rpartition(":")
-    if not (instance_id and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-        raise MalformedError(f"hostPort must be host:port, is {host_port[:64]!r}")
+    if not instance_id or not _is_host_port(host_port):
+        raise MalformedError(f"needs an instanceId and host:port, has {host_port[:64]!r}")
     try:
         lifecycle = Lifecycle(data.get("lifecycle"))
     except ValueError:
@@ -202,6 +211,14 @@
     return Destination(instance_id, host_port, zone, machine_type, cell, lifecycle, weight, started_us)
 
 
+def _is_host_port(text: str) -> bool:
+    try:
+        url = URL(f"http://{text}")
+        return bool(url.raw_host and url.explicit_port and url.authority == text)
+    except ValueError:
+        return False
+
+
 def _load(data: bytes) -> dict[str, object]:
     try:
         value = orjson.loads(data)
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -33,9 +33,9 @@
         self.inbound = Inbound(config, self.clock, self.decider.tell)
 
     async def start(self) -> None:
+        await self.inbound.start()  # first, as it may fail; what comes at once waits in the mailboxes
         self.destinations.start()
         self.decider.start()
-        await self.inbound.start()
         log.info("started", extra={"scheduler": self.config.name, "listen": self.config.listen})
 
     async def drain(self) -> None:
