Correct the record on header bytes that are not UTF-8: dropped, not a crash

A probe with the check taken out shows that the request reaches its endpoint, and a call of aiohttp's header writer shows why: it drops those bytes without a word, so the value is not passed through unchanged. The check stays for that reason; the comment in messages.py now says it.

--- a/robinhill/net/messages.py
+++ b/robinhill/net/messages.py
@@ -63,7 +63,7 @@
     left = read_timeout(headers[TIMEOUT]) if TIMEOUT in headers else deadlines_us[job_class]
     passed = tuple((key, headers[key]) for key in PASSED_ON if key in headers)
     if not all(value.isprintable() for _, value in passed):
-        # Such a value came as bytes that are not UTF-8 and can't be written again.
+        # Bytes that are not UTF-8: the client library would drop them without a word and pass on the rest.
         raise MalformedError("a header holds what is not printable text")
     return JobRequest(wire_id, job_class, left, headers.get(RETRIED) == "1", target, body, passed)
 
