--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -75,6 +75,9 @@
                 return self._reject(request, 405, "jobs come by POST")
             if (request.content_length or 0) > messages.MAX_BODY:
                 return self._reject(request, 413, TOO_LARGE)  # before its body comes
+            if request.headers.get("Expect", "").lower() == "100-continue":
+                await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                request.writer.output_size = 0  # the answer itself has not begun
             if path == JOB_EVENTS:
                 self.report(messages.read_job_event(await request.read()))
                 return web.Response(status=204)
--- /dev/null
+++ b/tests/test_endpoint.py
@@ -0,0 +1,38 @@
+"""A probe is one GET /health; the module asks for none by itself, so no exchange shows it."""
+
+import asyncio
+
+import pytest
+
+from robinhill.net.actor import Supervisor
+from robinhill.net.clock import Clock
+from robinhill.net.endpoint import Endpoint, FromEndpoint, Probe, Probed
+from robinhill.net.messages import Destination, Lifecycle
+
+
+@pytest.mark.parametrize("status, alive", [("200 OK", True), ("503 Busy", False)])
+def test_a_probe_tells_whether_the_endpoint_is_alive(status: str, alive: bool) -> None:
+    async def probe() -> tuple[bytes, FromEndpoint]:
+        asked: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+
+        async def worker(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.set_result(await reader.readline())
+            writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(worker, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        told: asyncio.Future[FromEndpoint] = asyncio.get_running_loop().create_future()
+        destination = Destination("s-1", f"{host}:{port}", "a", "b", 0, Lifecycle.ACTIVE, 1.0, 0)
+        supervisor = Supervisor()
+        endpoint = Endpoint(destination, supervisor, Clock(), 5_000_000, 15_000_000, told.set_result)
+        endpoint.start()
+        endpoint.tell(Probe())
+        found = await asked, await told
+        await supervisor.close()
+        await endpoint.close()
+        server.close()
+        return found
+
+    assert asyncio.run(probe()) == (b"GET /health HTTP/1.1\r\n", Probed("s-1", alive))
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -172,9 +172,9 @@
         if "Content-Length: *" in head:
             head = head.replace("Content-Length: *", f"Content-Length: {len(body)}")
         data = head.replace("\n", "\r\n") + "\r\n\r\n" + body
-        if "\n" not in block and "HTTP" not in block:  # a line of a watch, as a chunk
-            line = self.fill(block) + "\n"
-            data = f"{len(line):x}\r\n{line}\r\n"
+        if "HTTP" not in block:  # a body by itself, or a line of a watch as a chunk
+            line = head + "\n"
+            data = f"{len(line):x}\r\n{line}\r\n" if name.startswith("d.") else head
         self.peer(name).sock.sendall(data.encode().replace(b"{byte}", b"\xff"))
 
     def expect(self, name: str, block: str) -> None:
