--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -4,7 +4,7 @@
 that w1 gets) and discovery (d.1). A file holds steps, each with the bytes of a message below it:
 
     workers w1 w2           the list known at the start; an endpoint called down-* refuses connections,
-                            one called full-* lets none come up until `admit`
+                            one called full-* lets none come up until `admit`, *-t is in townsville
     set {...} / limits {..} changes to the settings, and the limits
     send NAME / expect NAME a message, with Content-Length filled in; * in an expected line is anything
     close NAME / closed NAME / admit WORKER / none WORKER (no connection has come) / log EVENT
@@ -127,9 +127,10 @@
         self.given = json.loads(limits)
 
     def run(self) -> None:
-        entry = {"zone": "brisbane", "machineType": "std-8", "lifecycle": "active"}
+        entry = {"machineType": "std-8", "lifecycle": "active"}
+        zones = {name: "townsville" if name.endswith("-t") else "brisbane" for name in self.ports}
         known = [
-            {"instanceId": name, "hostPort": address(sock), "weight": 1.0, **entry}
+            {"instanceId": name, "hostPort": address(sock), "zone": zones[name], **entry}
             for name, sock in self.ports.items()
             if name not in "ds"
         ]
