A repeated id must not end the request held under it, nor the program

Seen in review of decider.py: _taken set the 409 on a reply that may be cancelled by then, an InvalidStateError that ends the program, and _client_left looked the request up by its text id, so the leaving client of a repeated id ended the first one's.

--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -151,7 +151,8 @@
         request = taken.request
         if request.id in self.jobs:
             log.warning("request_repeated", extra={"id": request.id})
-            taken.reply.set_result(messages.CONFLICT)
+            if not taken.reply.done():  # its client may have gone already
+                taken.reply.set_result(messages.CONFLICT)
             return
         job = self.jobs[request.id] = next(self.numbers)
         deadline_us = taken.arrived_us + request.time_left_us
@@ -199,7 +200,7 @@
 
     def _client_left(self, request: JobRequest) -> None:
         held = self.held.get(self.jobs.get(request.id, 0))
-        if held and held.owed:
+        if held and held.owed and held.request is request:  # not another with the same id
             held.owed = False
             self._decide(api.ClientGone(held.job))
             self._forget(held)
