Serve readiness and true figures at an operators' address of its own

Now a listener with its own 32 descriptors answers /ops/readiness and /ops/stats. Attempts count in _CheckedRequest.write_bytes, after the last byte; the test first showed 0 tries, because an empty aiohttp DataQueue is false and 'conn.protocol and ...' skipped the count. Ruled out: the context variable (it is set). The handling of what can't be read moved from inbound to Listener, so that both sides share it.

--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -1,9 +1,9 @@
 """What the program is told at its start: the one place that reads it, checks it and gives defaults.
 
-``GW_CONFIG`` names a JSON file; ``GW_NAME``, ``GW_LISTEN`` and ``GW_DISCOVERY`` go before its ``name``,
-``listen`` and ``discovery``, but on a reload the file's ``discovery`` wins: the environment can't change
-under a running program, so a new address can only stand in the file. Whatever is wrong ends in a ConfigError
-that names the faulty key.
+``GW_CONFIG`` names a JSON file; ``GW_NAME``, ``GW_LISTEN``, ``GW_DISCOVERY`` and ``GW_OPS`` go before its
+``name``, ``listen``, ``discovery`` and ``ops``, but on a reload the discovery of the file wins: the
+environment cannot change under a running program. Whatever is wrong ends in a ConfigError that names
+the faulty key.
 """
 
 import math
@@ -21,6 +21,7 @@
 
 DEFAULT_SOCKETS = 1024
 OWN_SOCKETS = 16  # log, event loop, listener, two watches of discovery, the file on a reload; a few spare
+OPS_SOCKETS = 32
 # Numbers of the settings: those that must be there, and those that may. Of classes, for each.
 NEEDED = (
     "fleet-size", "policy-limits.most-tries", "guarantees.drain-grace-us", "guarantees.cold-from",
@@ -62,6 +63,7 @@
     name: str
     listen: Address
     discovery: Address
+    ops: Address | None  # the operators' address; without one they have no side
     seed: int
     sockets: int
     known: messages.DestinationList
@@ -76,7 +78,12 @@
 
         Each attempt has a connection and belongs to a client's request, so endpoints need no more than these.
         """
-        return (self.sockets - OWN_SOCKETS) // 2
+        return (self.sockets - OWN_SOCKETS - self.ops_sockets) // 2
+
+    @property
+    def ops_sockets(self) -> int:
+        """Connections that operators may have, with the listener: clients must not be able to take these."""
+        return min(OPS_SOCKETS, self.sockets // 8) if self.ops else 0
 
 
 def load(env: Mapping[str, str] = os.environ, *, again: bool = False) -> Config:
@@ -85,6 +92,7 @@
     discovery = document.get("discovery")
     if not (again and discovery is not None):
         discovery = env.get("GW_DISCOVERY") or discovery
+    ops = env.get("GW_OPS") or document.get("ops")
     options = document.get("settings")
     if not isinstance(options, dict):
         raise ConfigError("settings", "must be an object")
@@ -93,6 +101,7 @@
         name=_text(env.get("GW_NAME") or document.get("name"), "GW_NAME"),
         listen=_address(env.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
         discovery=_address(discovery, "discovery" if again else "GW_DISCOVERY"),
+        ops=_address(ops, "GW_OPS" if env.get("GW_OPS") else "ops") if ops is not None else None,
         seed=_seed(document.get("seed", "0")),
         sockets=_sockets(document.get("limits", {})),
         known=_known(document.get("known")),
--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -154,6 +154,11 @@
         self.handlers[type(event)](now, event)
         return self.out
 
+    def avoided(self, now: int) -> set[str]:
+        """The workers that get nothing, or come last, for what they did; it changes nothing."""
+        return {a for a, x in self.seats.items()
+                if now < x.doubt_us or (x.faults and now < x.shut_us < inf)}
+
     def _listed(self, now: int, event: api.WorkersListed) -> None:
         if event.kind is api.ListKind.FAILED:
             # Asked again with back-off, well inside the time after which silence counts as being told.
--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -11,16 +11,22 @@
 import socket
 import struct
 import termios
+from collections.abc import Awaitable, Callable
 from enum import Enum, auto
+from functools import partial
 from typing import Any, cast
 
 from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
 
+from robinhill.config import Address, ConfigError
+from robinhill.net import messages
 from robinhill.net.actor import Supervisor
 
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
+KEEPALIVE_S = 75.0
 ACCEPT_BATCH = 16  # connections accepted or closed in one go: floods take turns with everything else
 ACCEPT_PAUSE_S = 0.05  # when there is no room
 REQUEST_S = 2.5  # a request must be here whole so long after its first byte, the first one after the accept
@@ -180,11 +186,26 @@
         return str((self._wire.get_extra_info("peername") or "?")[0]) if self._wire else "?"
 
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
 class Listener(web.Server):
     """Accepts connections as far as the budget of descriptors goes, and closes the idlest to keep to it."""
 
-    def __init__(self, handler: Any, budget: int, supervisor: Supervisor, **kwargs: Any) -> None:
-        super().__init__(handler, handler_cancellation=True, **kwargs)
+    def __init__(self, handler: Handler, budget: int, supervisor: Supervisor, max_body: int) -> None:
+        super().__init__(
+            self._handle,
+            handler_cancellation=True,
+            request_factory=partial(
+                web.BaseRequest, loop=asyncio.get_running_loop(), client_max_size=max_body
+            ),
+            auto_decompress=False,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            lingering_time=0,  # `Connection.end` lingers
+        )
+        self.handler = handler
+        self.max_body = max_body
         self.budget = budget
         self.supervisor = supervisor
         self.open: set[Connection] = set()
@@ -194,10 +215,26 @@
     def __call__(self) -> Connection:
         return Connection(self, self._loop, **self._kwargs)
 
-    def listen(self, host: str, port: int) -> None:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._socket = socket.create_server((host, port), family=family, backlog=BACKLOG)
-        self._socket.setblocking(False)
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """The handler's answer, or the error that what can't be read is owed."""
+        too_large = f"a body holds at most {self.max_body} bytes"
+        try:
+            messages.check_framing(request.headers)
+            if (request.content_length or 0) > self.max_body:
+                return reject(request, 413, too_large)  # before its body comes
+            if request.headers.get("Expect", "").lower() == "100-continue":
+                await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                request.writer.output_size = 0  # the answer itself has not begun
+            return await self.handler(request)
+        except messages.MalformedError as e:
+            return reject(request, 400, str(e))
+        except web.HTTPRequestEntityTooLarge:
+            return reject(request, 413, too_large)
+        except (web.RequestPayloadError, HttpProcessingError) as e:
+            return reject(request, 400, str(e).partition("\n")[0])
+
+    def listen(self, sock: socket.socket) -> None:
+        self._socket = sock
         self._resume()
 
     def close(self) -> None:
@@ -258,6 +295,22 @@
         return bool(going)
 
 
+def bind(address: Address, key: str) -> socket.socket:
+    """A listening socket of our own; ``key`` is the setting to name where that can't be."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    try:
+        sock = socket.create_server((address.host, address.port), family=family, backlog=BACKLOG)
+    except OSError as e:
+        raise ConfigError(key, f"can't listen on {address}: {e.strerror}") from e
+    sock.setblocking(False)
+    return sock
+
+
+def connection_of(request: web.BaseRequest) -> Connection:
+    assert isinstance(request.protocol, Connection)
+    return request.protocol
+
+
 def reject(request: web.BaseRequest, status: int, why: str) -> web.Response:
     """A plain answer to what can't be used, and a log line; the connection ends behind it."""
     log.warning("malformed", extra={"peer": request.remote, "status": status, "why": why})
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -13,6 +13,7 @@
 from robinhill.net import messages
 from robinhill.net.actor import Actor, Supervisor
 from robinhill.net.clock import Clock
+from robinhill.net.figures import Figures
 from robinhill.net.messages import Answer, Destination, DestinationList, JobEvent, JobRequest, Lifecycle
 
 log = logging.getLogger(__name__)
@@ -78,11 +79,17 @@
     """Carries events to the module and its actions to the endpoints and the inbound side."""
 
     def __init__(
-        self, config: Config, supervisor: Supervisor, clock: Clock, subscribe: Callable[[], None]
+        self,
+        config: Config,
+        supervisor: Supervisor,
+        clock: Clock,
+        figures: Figures,
+        subscribe: Callable[[], None],
     ) -> None:
         super().__init__("decider", supervisor)
         self.config = config
         self.clock = clock
+        self.figures = figures
         self.subscribe = subscribe
         self.balancer = Balancer(config.settings, config.seed)
         self.held: dict[int, _Held] = {}
@@ -167,6 +174,7 @@
             del self.seen[next(iter(self.seen))]
         job = self.jobs[request.id] = next(self.numbers)
         deadline_us = taken.arrived_us + request.time_left_us
+        self.figures.taken()
         self.held[job] = _Held(job, request, deadline_us, taken.reply)
         left_us = max(1, deadline_us - self.clock.now_us())
         self._decide(
@@ -207,6 +215,7 @@
     def _answer(self, job: int, answer: Answer) -> None:
         held = self.held[job]
         held.owed = False
+        self.figures.answered(held.request.job_class, answer)
         if answer is messages.FAILED:
             name = self.config.classes[held.request.job_class]
             log.warning(
@@ -221,6 +230,7 @@
         held = self.held.get(self.jobs.get(request.id, 0))
         if held and held.owed and held.request is request:  # not another with the same id
             held.owed = False
+            self.figures.left()
             self._decide(api.ClientGone(held.job))
             self._forget(held)
 
@@ -261,6 +271,7 @@
             self.clock,
             settings.connect_timeout_us,
             settings.keepalive_us,
+            self.figures,
             self.tell,
         )
         self.endpoints[destination.instance_id] = endpoint
@@ -286,6 +297,13 @@
             endpoint.stop()
             self.supervisor.spawn(endpoint.close(), f"close {endpoint.name}")
 
+    def stats(self) -> Answer:
+        """The figures as they are now."""
+        listed = {d.instance_id for d in self.destinations.values() if d.lifecycle is not Lifecycle.LEFT}
+        self.figures.pool_size = len(listed)
+        self.figures.pool_ejected = len(listed & self.balancer.avoided(self.clock.now_us()))
+        return Answer(200, self.figures.text().encode())
+
     async def close(self) -> None:
         for endpoint in self.endpoints.values():
             await endpoint.close()
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -17,6 +17,7 @@
 from robinhill.net import messages
 from robinhill.net.actor import Actor, Supervisor
 from robinhill.net.clock import Clock
+from robinhill.net.figures import Figures
 from robinhill.net.messages import Destination, JobEvent, JobRequest, JobState, Lifecycle
 
 log = logging.getLogger(__name__)
@@ -168,7 +169,20 @@
             if attempt.over or not endpoint.open:
                 raise _NotWrittenError
             attempt.phase = _Phase.WRITTEN
-        return await super().send(conn)
+        response = await super().send(conn)
+        if not self.body:
+            self._count()
+        return response
+
+    async def write_bytes(self, writer: Any, conn: Connection, content_length: int | None = None) -> None:
+        await super().write_bytes(writer, conn, content_length)
+        if conn.protocol is not None and conn.protocol.exception() is None:
+            self._count()
+
+    def _count(self) -> None:
+        """The last byte of an attempt is written; cancels and probes are none."""
+        if current := _current.get():
+            current[0].figures.tries += 1
 
 
 class Endpoint(Actor[ToEndpoint]):
@@ -181,11 +195,13 @@
         clock: Clock,
         connect_timeout_us: int,
         keepalive_us: int,
+        figures: Figures,
         report: Callable[[FromEndpoint], None],
     ) -> None:
         super().__init__(f"endpoint {destination.instance_id}", supervisor)
         self.destination = destination
         self.clock = clock
+        self.figures = figures
         self.report = report
         self.connect_timeout_s = connect_timeout_us / 1e6
         self.retire_s = keepalive_us * RETIRE_SHARE / 1e6
--- /dev/null
+++ b/robinhill/net/figures.py
@@ -0,0 +1,55 @@
+"""The figures that operators read: counted in one object, and rendered from it alone."""
+
+from collections import Counter
+
+from robinhill.net.messages import Answer
+
+PREFIX = "app"
+OUTCOMES = ("ok", "shed", "errors")
+
+
+def _outcome(answer: Answer) -> str:
+    if answer.status == 200:
+        return "ok"
+    return "shed" if answer.status in (429, 503) else "errors"
+
+
+class Figures:
+    """Counts since the start of the process, and gauges as they were last set."""
+
+    def __init__(self, classes: tuple[str, ...]) -> None:
+        self.classes = classes
+        self.ended: Counter[tuple[str, str]] = Counter()
+        self.tries = 0  # attempts written whole to endpoints
+        self.active = 0  # requests taken and not yet ended
+        self.pool_size = 0
+        self.pool_ejected = 0
+
+    def taken(self) -> None:
+        self.active += 1
+
+    def answered(self, job_class: int, answer: Answer) -> None:
+        """A request that was taken has got its final answer."""
+        self.active -= 1
+        self.turned_away(job_class, answer)
+
+    def left(self) -> None:
+        """The client of a request has gone before its answer."""
+        self.active -= 1
+
+    def turned_away(self, job_class: int, answer: Answer) -> None:
+        """A final answer to a request that was never taken."""
+        self.ended[self.classes[job_class], _outcome(answer)] += 1
+
+    def text(self) -> str:
+        """One ``name:value|type`` a line: c for counts, g for gauges."""
+        lines = [
+            f"{PREFIX}.responses.{name}.{outcome}:{self.ended[name, outcome]}|c"
+            for name in self.classes
+            for outcome in OUTCOMES
+        ]
+        lines.append(f"{PREFIX}.tries:{self.tries}|c")
+        lines.append(f"{PREFIX}.active:{self.active}|g")
+        lines.append(f"{PREFIX}.pool_size:{self.pool_size}|g")
+        lines.append(f"{PREFIX}.pool_ejected:{self.pool_ejected}|g")
+        return "".join(f"{line}\n" for line in lines)
--- a/robinhill/net/messages.py
+++ b/robinhill/net/messages.py
@@ -24,6 +24,7 @@
 _UNITS_US = {"m": 1000, "u": 1}
 _LENGTH_FORM = re.compile(r"\d{1,18}", re.ASCII)
 _TARGET_FORM = re.compile(r"/[!\"$-~]*", re.ASCII)
+_INSTANCE_FORM = re.compile(r"[!-~]{1,256}", re.ASCII)
 _ID_FORM = re.compile(r"[!-~]{1,128}", re.ASCII)
 
 
@@ -190,6 +191,14 @@
     started_us: int
 
 
+def read_instance_id(body: bytes) -> str:
+    """Decode the body of an operator's call: an endpoint's identity, and perhaps blanks round it."""
+    text = body.decode(errors="replace").strip()
+    if not _INSTANCE_FORM.fullmatch(text):
+        raise MalformedError("the body must be a worker's id")
+    return text
+
+
 @dataclass(slots=True, frozen=True)
 class DestinationList:
     """The destination set at a version: whole after a ``reset``, else what changed."""
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -13,7 +13,10 @@
 from robinhill.net.clock import Clock
 from robinhill.net.decider import Decider
 from robinhill.net.destinations import Destinations, Move, Watch
+from robinhill.net.figures import Figures
 from robinhill.net.inbound import Inbound
+from robinhill.net.messages import Answer
+from robinhill.net.operators import Calls, Operators
 
 log = logging.getLogger(__name__)
 
@@ -28,14 +31,23 @@
         self.config = config
         self.clock = Clock()
         self.supervisor = Supervisor()
-        self.decider = Decider(config, self.supervisor, self.clock, lambda: self.destinations.tell(Watch()))
+        self.figures = Figures(config.classes)
+        self.decider = Decider(
+            config, self.supervisor, self.clock, self.figures, lambda: self.destinations.tell(Watch())
+        )
         self.destinations = Destinations(
             config.discovery, config.known.generation, self.supervisor, self.decider.tell
         )
-        self.inbound = Inbound(config, self.supervisor, self.clock, self.decider.tell)
+        self.inbound = Inbound(config, self.supervisor, self.clock, self.figures, self.decider.tell)
+        self.operators: Operators | None = None
+        if config.ops:
+            calls = Calls(self.readiness, self.decider.stats)
+            self.operators = Operators(config.ops, config.ops_sockets - 1, self.supervisor, calls)
 
     async def start(self) -> None:
-        await self.inbound.start()  # first, as it may fail; what comes at once waits in the mailboxes
+        if self.operators:
+            self.operators.start()
+        self.inbound.start()  # first, as it may fail; what comes at once waits in the mailboxes
         self.destinations.start()
         self.decider.start()
         log.info("started", extra={"scheduler": self.config.name, "listen": self.config.listen})
@@ -69,7 +81,13 @@
         await self.inbound.none_owed.wait()
         await asyncio.sleep(FLUSH_S)
 
+    def readiness(self) -> Answer:
+        """Whether this process is ready to serve."""
+        return Answer(200, b"ready\n") if self.inbound.ready else Answer(503, b"not ready\n")
+
     async def close(self) -> None:
+        if self.operators:
+            await self.operators.close()
         await self.inbound.close()
         await self.supervisor.close()
         await self.decider.close()
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -9,6 +9,7 @@
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
 from robinhill.net.decider import ClientLeft, Decider, Taken
+from robinhill.net.figures import Figures
 
 from .test_config import GIVEN
 
@@ -19,7 +20,8 @@
 
     async def repeat() -> None:
         clock = Clock()
-        decider = Decider(config.load({"GW_CONFIG": str(path)}), Supervisor(), clock, lambda: None)
+        given = config.load({"GW_CONFIG": str(path)})
+        decider = Decider(given, Supervisor(), clock, Figures(given.classes), lambda: None)
         first, second = (messages.JobRequest("j1", 1, 25_000_000, False, "/x", b"", ()) for _ in range(2))
         replies = [asyncio.get_running_loop().create_future() for _ in range(2)]
         replies[1].cancel()  # its client has gone before the decider looks
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -10,9 +10,10 @@
     send NAME / expect NAME a message, with Content-Length filled in; * in an expected line is anything
     close NAME / closed NAME / admit WORKER / none WORKER (no connection has come) / log EVENT [PAIR]
     raw NAME COUNT JSON     text that is no message, so many times
-    crowd COUNT [JSON]      so many connections that say this once, or nothing, and stay
+    crowd COUNT [ops] [JSON]  so many connections (to operators) that say this once, or nothing, and stay
     reload TEXT             the configuration file gets these changes, or text that is no JSON; SIGHUP
     term / exit CODE        SIGTERM, and the end of the program
+    call STATUS METHOD PATH [BODY]  an operator's call, and lines of its answer; its connection ends
 
 and short forms of the messages that served.txt spells out:
 
@@ -45,7 +46,7 @@
 ROOT = Path(__file__).parent.parent
 FILES = sorted((ROOT / "tests" / "exchanges").glob("*.txt"))
 WORDS = (
-    "workers|set|limits|send|raw|crowd|expect|close|closed|admit|none|log|reload|term|exit|job|take|event|answer"
+    "workers|set|limits|send|raw|crowd|expect|close|closed|admit|none|log|reload|term|exit|job|take|event|answer|call"
 )
 STEP = re.compile(rf"^({WORDS})\b ?(.*)$")
 PATIENCE_S = 10
@@ -110,7 +111,7 @@
 class Player:
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        self.ports: dict[str, socket.socket] = {"d": listener(), "e": listener(), "s": listener()}
+        self.ports: dict[str, socket.socket] = {name: listener() for name in "deso"}
         self.fillers: dict[str, list[socket.socket]] = {}
         self.peers: dict[str, Connection] = {}
         self.settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
@@ -140,16 +141,18 @@
         known = [
             {"instanceId": name, "hostPort": address(sock), "zone": zones[name], **entry}
             for name, sock in self.ports.items()
-            if name not in "des"
+            if name not in "deso"
         ]
-        self.ports["s"].close()
+        self.ops = self.ports["o"].getsockname()
         listen = f"127.0.0.1:{self.at[1]}"
         config: dict[str, Any] = {
             "name": "n1", "listen": listen, "discovery": address(self.ports["d"]), "seed": "7",
             "known": {"generation": 41, "reset": True, "instances": known}, "settings": self.settings,
-            "limits": self.given,
+            "limits": self.given, "ops": address(self.ports["o"]),
         }  # fmt: skip
         self.config = config
+        self.ports["s"].close()
+        self.ports["o"].close()
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         env = {"GW_CONFIG": str(path), "GW_DISCOVERY": config["discovery"]}
@@ -221,6 +224,14 @@
         for line in filter(None, block.split("\n")):
             assert any(fnmatchcase(x, line) for x in got), f"no {line} in {got}"
 
+    def call(self, words: str, block: str) -> None:
+        status, method, path, *body = words.split()
+        peer = self.peers["call"] = Connection(socket.create_connection(self.ops))
+        text = "".join(body)
+        self.send("call", f"{method} {path} HTTP/1.1\nHost: s\nContent-Length: *\n\n{text}")
+        self.answer(f"call {status}", block)
+        assert peer.file.read() == b""
+
     def close(self, name: str, block: str) -> None:
         peer = self.peers[name]
         peer.file.close()
@@ -256,8 +267,12 @@
 
     def crowd(self, words: str, block: str) -> None:
         count, _, text = words.partition(" ")
-        for number in range(int(count)):
-            self.raw(f"crowd{len(self.peers)}-{number} 1 {text or json.dumps('')}", "")
+        ops = text.startswith("ops")
+        for _ in range(int(count)):
+            name = f"crowd{len(self.peers)}"
+            if ops:
+                self.peers[name] = Connection(socket.create_connection(self.ops))
+            self.raw(f"{name} 1 {text.removeprefix('ops').strip() or json.dumps('')}", "")
 
     def reload(self, text: str, block: str) -> None:
         assert self.program
