Hold workers out and drain the scheduler on the operators' calls

Held-out workers are listed to the module as leaving, and checked again at the write. The first form told the module of them as changes; the exchange showed that it then took itself for subscribed (_listed sets subscribed unless CACHED) and never asked discovery. They are told as the list of before now. The module forgets, when a worker is taken back, what befell it before (_listed, _judge), and starts within 2 s there: a cold worker's first turn could be 6 s off. A later start alone makes a worker new to it, an earlier one no longer.

--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -66,6 +66,7 @@
     ops: Address | None  # the operators' address; without one they have no side
     seed: int
     sockets: int
+    folder: Path | None  # $TMPDIR, for what outlives the process
     known: messages.DestinationList
     settings: api.Settings
     classes: tuple[str, ...]
@@ -104,6 +105,7 @@
         ops=_address(ops, "GW_OPS" if env.get("GW_OPS") else "ops") if ops is not None else None,
         seed=_seed(document.get("seed", "0")),
         sockets=_sockets(document.get("limits", {})),
+        folder=_folder(env.get("TMPDIR")),
         known=_known(document.get("known")),
         settings=settings,
         classes=tuple(c["name"] for c in options["classes"]),
@@ -157,6 +159,12 @@
     return sockets
 
 
+def _folder(path: str | None) -> Path | None:
+    if path and not os.access(path, os.W_OK | os.X_OK):
+        raise ConfigError("TMPDIR", f"can't write in {path}")
+    return Path(path) if path else None
+
+
 def _known(value: object) -> messages.DestinationList:
     if value is None:
         return messages.DestinationList(0, True, ())
--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -22,6 +22,7 @@
 OVERDUE = 2.0  # of its class's usual time: a job that runs longer, none ending there meanwhile, casts doubt
 EJECT_US = 4_000_000  # the longest time out; or half the time in which workers warm up, if longer
 SILENT_FAULTS = 3  # a worker that answers no probe stays out as long as after so many failures
+BACK_US = 2_000_000  # a worker taken back gets its first own job within it, though it is cold
 CHEAP_WASTE = 0.1  # price of waste under which jobs past use are withdrawn: gains at 0.02, loses at 0.2
 
 
@@ -77,6 +78,7 @@
     doubt_us: int = 0  # its answers seem to be lost: until then it is picked only if most others can't be
     asked_us: int = 0  # since when it is being probed; 0: it is not
     unanswered: int = 0  # probes of these that failed
+    back_us: int = 0  # when it was last taken back
     idle_us: int = 0  # when an own connection was last used there; 0: none can be open
 
 
@@ -156,8 +158,7 @@
 
     def avoided(self, now: int) -> set[str]:
         """The workers that get nothing, or come last, for what they did; it changes nothing."""
-        return {a for a, x in self.seats.items()
-                if now < x.doubt_us or (x.faults and now < x.shut_us < inf)}
+        return {a for a, x in self.seats.items() if now < x.doubt_us or (x.faults and now < x.shut_us < inf)}
 
     def _listed(self, now: int, event: api.WorkersListed) -> None:
         if event.kind is api.ListKind.FAILED:
@@ -173,7 +174,7 @@
             if seat and (seat.entry.kind, seat.entry.zone) != (entry.kind, entry.zone):
                 self._leave(seat)  # the same address is another machine now
                 seat = None
-            known = seat is not None and seat.entry.started_us == entry.started_us
+            known = seat is not None and entry.started_us <= seat.entry.started_us
             if seat is None:
                 zone = self.zones.setdefault(entry.zone, _Mean())
                 seat = self.seats[entry.address] = _Seat(entry, self.random.random(), zone)
@@ -189,7 +190,13 @@
                 self._leave(seat)
             elif not known or seat.shut_us == inf:
                 # Nodes told of a start together must not send together: each begins at its own moment.
-                seat.shut_us = min(now + self.random.random() * self._cold_gap(now, seat), seat.cold_us)
+                phase = self._cold_gap(now, seat)
+                if seat.shut_us == inf:
+                    # Back after it was left out: what befell it or own jobs there before tells nothing now.
+                    seat.faults, seat.errors, seat.doubt_us, seat.waiting, seat.back_us = 0, 0.0, 0, None, now
+                    seat.out, seat.full, seat.last = set(), {}, self.sends - 1000 * (turn + 1)
+                    phase = min(phase, BACK_US)
+                seat.shut_us = min(now + self.random.random() * phase, seat.cold_us)
             seat.wanted = any(c.bound and c.open_to(entry) for c in self.s.classes)
             self._price(seat)
         self._weigh()
@@ -442,6 +449,8 @@
             seat.faults = seat.faults if seat.errors >= 0.25 else 0
             seat.done_us, seat.doubt_us = now, 0
             return self._learn(now, flight, took_us)
+        if flight.sent_us < seat.back_us:
+            return  # a job of before it was left out
         if outcome in (api.Outcome.CANCELLED, api.Outcome.NOT_SENT) and not late:
             return
         # A worker that loses answers looked dead: slow, full, shunned, and the others drowned (ledger site).
--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -31,6 +31,8 @@
 ACCEPT_PAUSE_S = 0.05  # when there is no room
 REQUEST_S = 2.5  # a request must be here whole so long after its first byte, the first one after the accept
 LINGER_S = 3.0  # how long what a peer still sends is read and dropped behind its last answer
+FRONT_S = 0.5  # after a no at /ready new connections still come for so long
+SWEEP_S = 0.25  # how often idle connections are looked for while they are being closed
 NEW_S = 0.25  # a connection without a request is not closed to make room before this: it may be on its way
 YOUNG_RANK, LAST_RANK = 3, 4
 LATE = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -63,12 +65,13 @@
 class Connection(web.RequestHandler):
     """One client connection."""
 
-    __slots__ = ("_more", "_phase", "_since", "_timer", "_wire", "listener", "useful")
+    __slots__ = ("_more", "_phase", "_since", "_timer", "_wire", "calls_back", "listener", "useful")
 
     def __init__(self, listener: "Listener", loop: asyncio.AbstractEventLoop, **kwargs: Any) -> None:
         super().__init__(listener, loop=loop, **kwargs)
         self.listener = listener
         self.useful = False  # it has carried a job or an endpoint's call
+        self.calls_back = False  # it is an endpoint's
         self._phase, self._since = _Phase.WAITING, loop.time()
         self._more = False  # bytes have come that no request took yet
         self._wire: asyncio.Transport | None = None
@@ -156,6 +159,14 @@
             return (1 if now - self._since >= NEW_S else YOUNG_RANK, self._since)
         return (LAST_RANK if self.useful else 2, self._since)
 
+    def retire(self, now: float) -> None:
+        """End it if it is a client's and carries nothing; what is on its way will be sent elsewhere."""
+        quiet = self._phase is _Phase.IDLE or (
+            self._phase is _Phase.WAITING and not self._more and now - self._since >= NEW_S
+        )
+        if quiet and not self.calls_back and not self._unread():
+            self.end()
+
     def _unread(self) -> bool:
         """Whether bytes wait that we have not come to: such a peer is neither silent nor idle."""
         if self._wire is None:
@@ -246,6 +257,12 @@
         for connection in list(self.open):
             connection.end()
 
+    def retire_idle(self) -> None:
+        """End clients' connections that are between requests."""
+        now = self._loop.time()
+        for connection in list(self.open):
+            connection.retire(now)
+
     def _resume(self) -> None:
         if self._socket:
             self._loop.add_reader(self._socket, self._accept)
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -14,7 +14,8 @@
 from robinhill.net.actor import Actor, Supervisor
 from robinhill.net.clock import Clock
 from robinhill.net.figures import Figures
-from robinhill.net.messages import Answer, Destination, DestinationList, JobEvent, JobRequest, Lifecycle
+from robinhill.net.messages import DONE, Answer, Destination, DestinationList, JobEvent, JobRequest, Lifecycle
+from robinhill.net.state import State
 
 log = logging.getLogger(__name__)
 
@@ -58,7 +59,18 @@
     tag: str
 
 
-ToDecider = Taken | ClientLeft | Listed | Due | JobEvent | ep.Started | ep.Ended | ep.Probed | ep.Retired
+@dataclass(slots=True, frozen=True)
+class HoldOut:
+    """An operator's call to leave an endpoint out, or to take it back; ``reply`` gets what it is told."""
+
+    instance_id: str
+    out: bool
+    reply: asyncio.Future[Answer]
+
+
+ToDecider = (
+    Taken | ClientLeft | Listed | HoldOut | Due | JobEvent | ep.Started | ep.Ended | ep.Probed | ep.Retired
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -99,6 +111,10 @@
         self.numbers = count(1)
         self.destinations: dict[str, Destination] = {}
         self.endpoints: dict[str, ep.Endpoint] = {}
+        self.state = State(config.folder)
+        self.held_out = self.state.held_out()  # endpoints that operators want left out
+        # Since when, and until when, operators had an endpoint out; the file tells no times.
+        self.outages = {instance_id: (clock.now_us(), 0) for instance_id in self.held_out}
         self.zones = list(config.zones)
         self.machine_types = list(config.machine_types)
 
@@ -126,6 +142,10 @@
                 self._client_left(request)
             case Listed():
                 self._listed(message)
+            case HoldOut(instance_id=instance_id, out=out, reply=reply):
+                answer = self.hold_out(instance_id, out)
+                if not reply.done():
+                    reply.set_result(answer)
             case ep.Probed(instance_id=instance_id, alive=alive):
                 self._decide(api.ProbeEnded(instance_id, alive))
             case ep.Retired(instance_id=instance_id):
@@ -150,7 +170,10 @@
                 case api.Subscribe():
                     self.subscribe()
                 case api.Probe(address=address):
-                    if endpoint := self.endpoints.get(address):
+                    if address in self.held_out:
+                        # An operator's worker gets nothing, and its silence is no news.
+                        self.tell(ep.Probed(address, True))
+                    elif endpoint := self.endpoints.get(address):
                         endpoint.tell(ep.Probe())
                     else:
                         self.tell(ep.Probed(address, False))
@@ -258,15 +281,16 @@
 
     def _update(self, destination: Destination) -> None:
         self.destinations[destination.instance_id] = destination
+        told = self._effective(destination)
         if endpoint := self.endpoints.get(destination.instance_id):
-            endpoint.tell(destination)
+            endpoint.tell(told)
             return
         if destination.lifecycle is Lifecycle.LEFT:
             del self.destinations[destination.instance_id]
             return
         settings = self.config.settings
         endpoint = ep.Endpoint(
-            destination,
+            told,
             self.supervisor,
             self.clock,
             settings.connect_timeout_us,
@@ -277,8 +301,43 @@
         self.endpoints[destination.instance_id] = endpoint
         endpoint.start()
 
+    def _effective(self, d: Destination) -> Destination:
+        """As module and endpoint are to see it: what operators have said goes before the list's words.
+
+        The list is late: a restart during an outage may not be on it yet. Taken for warm, a cold worker would
+        be pushed over.
+        """
+        if d.instance_id in self.held_out and d.lifecycle is Lifecycle.ACTIVE:
+            return replace(d, lifecycle=Lifecycle.LEAVING)
+        out_us, back_us = self.outages.get(d.instance_id, (0, 0))
+        return replace(d, started_us=back_us) if back_us and d.started_us < out_us else d
+
+    def hold_out(self, instance_id: str, out: bool) -> Answer:
+        """Leave an endpoint out until it is called back; saying so twice changes nothing."""
+        destination = self.destinations.get(instance_id)
+        listed = destination is not None and destination.lifecycle is not Lifecycle.LEFT
+        if not listed and instance_id not in self.held_out:
+            return Answer(404, b"no such worker\n")
+        if (instance_id in self.held_out) is out:
+            return DONE
+        held_out = self.held_out | {instance_id} if out else self.held_out - {instance_id}
+        if not self.state.save(held_out):
+            return Answer(500, b"can't be saved\n")
+        self.held_out, now = held_out, self.clock.now_us()
+        log.info("held_out" if out else "called_back", extra={"endpoint": instance_id})
+        if out:
+            self.outages[instance_id] = (now, 0)
+        else:
+            self.outages[instance_id] = (self.outages.get(instance_id, (now, 0))[0], now)
+        if destination and listed:
+            self._update(destination)
+            # Told as the list of before: changes would be word of discovery, and the module stop asking it.
+            self._decide(api.WorkersListed(api.ListKind.CACHED, [self._worker(d) for d in self.listed()]))
+        return DONE
+
     def _worker(self, d: Destination) -> api.Worker:
         """The module's view: names become numbers, in the order of the settings, then of their coming."""
+        d = self._effective(d)
         return api.Worker(
             address=d.instance_id,
             zone=_index(self.zones, d.zone),
@@ -297,11 +356,17 @@
             endpoint.stop()
             self.supervisor.spawn(endpoint.close(), f"close {endpoint.name}")
 
+    def listed(self) -> list[Destination]:
+        """The destination set; one that has left stays with us only until its attempts are over."""
+        return [d for d in self.destinations.values() if d.lifecycle is not Lifecycle.LEFT]
+
     def stats(self) -> Answer:
         """The figures as they are now."""
-        listed = {d.instance_id for d in self.destinations.values() if d.lifecycle is not Lifecycle.LEFT}
+        listed = {d.instance_id for d in self.listed()}
         self.figures.pool_size = len(listed)
-        self.figures.pool_ejected = len(listed & self.balancer.avoided(self.clock.now_us()))
+        self.figures.pool_ejected = len(
+            listed & (self.held_out | self.balancer.avoided(self.clock.now_us()))
+        )
         return Answer(200, self.figures.text().encode())
 
     async def close(self) -> None:
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -9,7 +9,7 @@
 from robinhill.net import messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
-from robinhill.net.connections import Listener, bind, connection_of, reject
+from robinhill.net.connections import FRONT_S, SWEEP_S, Listener, bind, connection_of, reject
 from robinhill.net.decider import ClientLeft, Taken
 from robinhill.net.figures import Figures
 from robinhill.net.messages import Answer, JobEvent
@@ -37,6 +37,8 @@
         self.figures = figures
         self.report = report
         self.deadlines_us = tuple(c.deadline_us for c in config.settings.classes)
+        self.drained = False  # by operators: clients should go elsewhere
+        self._drains: asyncio.Task[None] | None = None
         self.leaving = False  # answers close their connection
         self.closed_to_new = False  # new requests are refused
         self.owed = 0
@@ -60,7 +62,9 @@
             return reject(request, 405, "jobs come by POST")
         if path == JOB_EVENTS:
             event = messages.read_job_event(await request.read())
-            connection_of(request).claim(useful=True)
+            connection = connection_of(request)
+            connection.claim(useful=True)
+            connection.calls_back = True
             self.report(event)
             return web.Response(status=204)
         return await self._job(request)
@@ -68,7 +72,20 @@
     @property
     def ready(self) -> bool:
         """Whether clients should come here."""
-        return not self.leaving
+        return not (self.leaving or self.drained)
+
+    def drain(self, start: bool) -> None:
+        """Send clients elsewhere, or take them again; nothing is refused, and endpoints go on calling."""
+        self.drained = start
+        if self._drains:
+            self._drains.cancel()
+        self._drains = self.supervisor.spawn(self._send_away(), "drain") if start else None
+
+    async def _send_away(self) -> None:
+        await asyncio.sleep(FRONT_S)
+        while True:
+            self._listener.retire_idle()
+            await asyncio.sleep(SWEEP_S)
 
     async def _job(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_us = self.clock.now_us()
@@ -98,7 +115,7 @@
 
     def _respond(self, answer: Answer) -> web.Response:
         response = web.Response(status=answer.status, body=answer.body, headers=answer.headers())
-        if self.leaving or answer.close:
+        if not self.ready or answer.close:
             response.force_close()
         return response
 
--- a/robinhill/net/messages.py
+++ b/robinhill/net/messages.py
@@ -127,6 +127,7 @@
     return Answer(503, b"refused, safe to try again\n", retry_after_us)
 
 
+DONE = Answer(200, b"yes\n")
 CONFLICT = Answer(409, b"a request of this id is held already\n", close=True)
 FAILED = Answer(502, b"failed, may have run\n")
 
--- a/robinhill/net/operators.py
+++ b/robinhill/net/operators.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from robinhill.config import Address
+from robinhill.net import messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.connections import Listener, bind, connection_of, reject
 from robinhill.net.messages import Answer
@@ -15,10 +16,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Calls:
-    """What operators can ask for."""
+    """What operators can ask for; those with an id, of an endpoint, or with whether to drain."""
 
     readiness: Callable[[], Answer]
     stats: Callable[[], Answer]
+    hold_out: Callable[[str, bool], Awaitable[Answer]]
+    drain: Callable[[bool], Awaitable[Answer]]
 
 
 class Operators:
@@ -31,6 +34,10 @@
         self._routes: dict[str, tuple[str, Callable[[bytes], Awaitable[Answer]]]] = {
             "/ops/readiness": ("GET", self._readiness),
             "/ops/stats": ("GET", self._stats),
+            "/ops/workers/down": ("PUT", lambda body: self._worker(body, True)),
+            "/ops/workers/up": ("PUT", lambda body: self._worker(body, False)),
+            "/ops/drain/start": ("PUT", lambda body: calls.drain(True)),
+            "/ops/drain/stop": ("PUT", lambda body: calls.drain(False)),
         }
 
     def start(self) -> None:
@@ -61,3 +68,6 @@
 
     async def _stats(self, body: bytes) -> Answer:
         return self.calls.stats()
+
+    async def _worker(self, body: bytes, out: bool) -> Answer:
+        return await self.calls.hold_out(messages.read_instance_id(body), out)
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -11,11 +11,11 @@
 from robinhill.config import Config
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
-from robinhill.net.decider import Decider
+from robinhill.net.decider import Decider, HoldOut
 from robinhill.net.destinations import Destinations, Move, Watch
 from robinhill.net.figures import Figures
 from robinhill.net.inbound import Inbound
-from robinhill.net.messages import Answer
+from robinhill.net.messages import DONE, Answer
 from robinhill.net.operators import Calls, Operators
 
 log = logging.getLogger(__name__)
@@ -41,7 +41,7 @@
         self.inbound = Inbound(config, self.supervisor, self.clock, self.figures, self.decider.tell)
         self.operators: Operators | None = None
         if config.ops:
-            calls = Calls(self.readiness, self.decider.stats)
+            calls = Calls(self.readiness, self.decider.stats, self.hold_out, self.set_drained)
             self.operators = Operators(config.ops, config.ops_sockets - 1, self.supervisor, calls)
 
     async def start(self) -> None:
@@ -85,6 +85,18 @@
         """Whether this process is ready to serve."""
         return Answer(200, b"ready\n") if self.inbound.ready else Answer(503, b"not ready\n")
 
+    async def hold_out(self, instance_id: str, out: bool) -> Answer:
+        """Leave a worker out, or call it back."""
+        reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.decider.tell(HoldOut(instance_id, out, reply))
+        return await reply
+
+    async def set_drained(self, start: bool) -> Answer:
+        """Send clients elsewhere, or take them again."""
+        log.info("drain_started" if start else "drain_stopped")
+        self.inbound.drain(start)
+        return DONE
+
     async def close(self) -> None:
         if self.operators:
             await self.operators.close()
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -13,6 +13,7 @@
     crowd COUNT [ops] [JSON]  so many connections (to operators) that say this once, or nothing, and stay
     reload TEXT             the configuration file gets these changes, or text that is no JSON; SIGHUP
     term / exit CODE        SIGTERM, and the end of the program
+    file NAME TEXT          what a file in $TMPDIR holds
     call STATUS METHOD PATH [BODY]  an operator's call, and lines of its answer; its connection ends
 
 and short forms of the messages that served.txt spells out:
@@ -46,7 +47,7 @@
 ROOT = Path(__file__).parent.parent
 FILES = sorted((ROOT / "tests" / "exchanges").glob("*.txt"))
 WORDS = (
-    "workers|set|limits|send|raw|crowd|expect|close|closed|admit|none|log|reload|term|exit|job|take|event|answer|call"
+    "workers|set|limits|send|raw|crowd|expect|close|closed|admit|none|log|reload|term|exit|job|take|event|answer|call|file"
 )
 STEP = re.compile(rf"^({WORDS})\b ?(.*)$")
 PATIENCE_S = 10
@@ -155,7 +156,7 @@
         self.ports["o"].close()
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
-        env = {"GW_CONFIG": str(path), "GW_DISCOVERY": config["discovery"]}
+        env = {"GW_CONFIG": str(path), "GW_DISCOVERY": config["discovery"], "TMPDIR": str(self.folder)}
         self.program = subprocess.Popen(
             [sys.executable, "-m", "robinhill"], env=env, cwd=ROOT, text=True, stderr=subprocess.PIPE
         )
@@ -224,6 +225,10 @@
         for line in filter(None, block.split("\n")):
             assert any(fnmatchcase(x, line) for x in got), f"no {line} in {got}"
 
+    def file(self, words: str, block: str) -> None:
+        name, _, text = words.partition(" ")
+        assert (self.folder / name).read_text() == text
+
     def call(self, words: str, block: str) -> None:
         status, method, path, *body = words.split()
         peer = self.peers["call"] = Connection(socket.create_connection(self.ops))
