Replace the process on an inherited socket: the old one hands over what it owes

Now it adopts the socket in GW_SOCKET_FD, learns what the first knows over a Unix socket in TMPDIR, accepts, and takes over its requests in flight with their client connections. Ruled out for passing a connection: a close of the old descriptor ends nothing (asyncio closes it without shutdown). The first form failed on aiohttp's check for a Host header in the stand-in request; the exchange showed it.

--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -8,6 +8,7 @@
 
 import math
 import os
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -22,6 +23,7 @@
 DEFAULT_SOCKETS = 1024
 OWN_SOCKETS = 16  # log, event loop, listener, two watches of discovery, the file on a reload; a few spare
 OPS_SOCKETS = 32
+MIN_CLIENTS = 8
 # Numbers of the settings: those that must be there, and those that may. Of classes, for each.
 NEEDED = (
     "fleet-size", "policy-limits.most-tries", "guarantees.drain-grace-us", "guarantees.cold-from",
@@ -63,6 +65,7 @@
     name: str
     listen: Address
     discovery: Address
+    socket_fd: int | None  # the clients' listening socket, where the platform holds it
     ops: Address | None  # the operators' address; without one they have no side
     seed: int
     sockets: int
@@ -73,13 +76,14 @@
     zones: tuple[str, ...]
     machine_types: tuple[str, ...]
 
-    @property
-    def client_sockets(self) -> int:
+    def client_sockets(self, processes: int = 1) -> int:
         """Connections that clients and call-backs may have: half of the descriptors that are not our own.
 
+        While two processes live, each has half of all.
+
         Each attempt has a connection and belongs to a client's request, so endpoints need no more than these.
         """
-        return (self.sockets - OWN_SOCKETS - self.ops_sockets) // 2
+        return max(MIN_CLIENTS, (self.sockets // processes - OWN_SOCKETS - self.ops_sockets) // 2)
 
     @property
     def ops_sockets(self) -> int:
@@ -102,6 +106,7 @@
         name=_text(env.get("GW_NAME") or document.get("name"), "GW_NAME"),
         listen=_address(env.get("GW_LISTEN") or document.get("listen"), "GW_LISTEN"),
         discovery=_address(discovery, "discovery" if again else "GW_DISCOVERY"),
+        socket_fd=_socket_fd(env.get("GW_SOCKET_FD")),
         ops=_address(ops, "GW_OPS" if env.get("GW_OPS") else "ops") if ops is not None else None,
         seed=_seed(document.get("seed", "0")),
         sockets=_sockets(document.get("limits", {})),
@@ -142,6 +147,23 @@
     return Address(host.strip("[]"), int(port))
 
 
+def _socket_fd(text: str | None) -> int | None:
+    """A descriptor that we have inherited, if it is a listening socket."""
+    if not text:
+        return None
+    key = "GW_SOCKET_FD"
+    if not (text.isascii() and text.isdigit()):
+        raise ConfigError(key, f"must be a descriptor's number, is {text!r}")
+    try:
+        with socket.socket(fileno=os.dup(int(text))) as sock:
+            listening = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    except (OSError, OverflowError) as e:
+        raise ConfigError(key, f"{text} is no socket of ours: {e}") from e
+    if not listening:
+        raise ConfigError(key, f"{text} is a socket that does not listen")
+    return int(text)
+
+
 def _seed(value: object) -> int:
     """A seed in hexadecimal, as the platform gives it, or a whole number."""
     try:
--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -8,6 +8,7 @@
 import contextlib
 import fcntl
 import logging
+import os
 import socket
 import struct
 import termios
@@ -35,6 +36,8 @@
 SWEEP_S = 0.25  # how often idle connections are looked for while they are being closed
 NEW_S = 0.25  # a connection without a request is not closed to make room before this: it may be on its way
 YOUNG_RANK, LAST_RANK = 3, 4
+# What stands for a request that another process has read already; aiohttp then does the rest as ever.
+ADOPTED = b"POST / HTTP/1.1\r\nHost: -\r\nContent-Length: 0\r\n\r\n"
 LATE = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
@@ -65,13 +68,18 @@
 class Connection(web.RequestHandler):
     """One client connection."""
 
-    __slots__ = ("_more", "_phase", "_since", "_timer", "_wire", "calls_back", "listener", "useful")
+    __slots__ = (
+        "_more", "_phase", "_since", "_timer", "_wire", "adopted", "calls_back", "handed", "listener",
+        "useful",
+    )  # fmt: skip
 
     def __init__(self, listener: "Listener", loop: asyncio.AbstractEventLoop, **kwargs: Any) -> None:
         super().__init__(listener, loop=loop, **kwargs)
         self.listener = listener
         self.useful = False  # it has carried a job or an endpoint's call
         self.calls_back = False  # it is an endpoint's
+        self.adopted: object = None  # what it carries from the process that it was in before
+        self.handed = False  # it has gone to another process
         self._phase, self._since = _Phase.WAITING, loop.time()
         self._more = False  # bytes have come that no request took yet
         self._wire: asyncio.Transport | None = None
@@ -167,6 +175,37 @@
         if quiet and not self.calls_back and not self._unread():
             self.end()
 
+    @property
+    def halfway(self) -> bool:
+        """A part of a request is here, or waits to be read."""
+        return (self._phase is _Phase.WAITING and self._more) or (
+            self._phase in (_Phase.WAITING, _Phase.IDLE) and self._unread()
+        )
+
+    def hold(self) -> bool:
+        """Read no further, so that it can go to another process; False if it must stay."""
+        if self._wire is None or self._phase is not _Phase.BUSY or self._more or self._messages:
+            return False
+        self._wire.pause_reading()
+        return True
+
+    def stay(self) -> None:
+        """It goes nowhere after all."""
+        if self._wire:
+            self._wire.resume_reading()
+
+    def hand_over(self) -> int | None:
+        """A descriptor of it for another process; None if it has closed. Ours is to be dropped then."""
+        if self._wire is None:
+            return None
+        return os.dup(self._wire.get_extra_info("socket").fileno())
+
+    def forget(self) -> None:
+        """It is another process's now: our descriptor closes, the connection stays."""
+        self.handed = True
+        if self._wire:
+            self._wire.abort()
+
     def _unread(self) -> bool:
         """Whether bytes wait that we have not come to: such a peer is neither silent nor idle."""
         if self._wire is None:
@@ -220,6 +259,7 @@
         self.budget = budget
         self.supervisor = supervisor
         self.open: set[Connection] = set()
+        self.accepting = False
         self._coming = 0  # accepted, but not in `open` yet
         self._socket: socket.socket | None = None
 
@@ -246,7 +286,36 @@
 
     def listen(self, sock: socket.socket) -> None:
         self._socket = sock
-        self._resume()
+        self.accept(True)
+
+    def accept(self, on: bool) -> None:
+        """Take new connections, or leave them to another process that listens on the same socket."""
+        self.accepting = on
+        if on:
+            self._resume()
+        elif self._socket:
+            self._loop.remove_reader(self._socket)
+
+    def share(self, budget: int) -> None:
+        """Keep to another budget from now on: the idlest connections go until it is kept."""
+        self.budget = budget
+        while len(self.open) > budget and self._make_room():
+            pass
+
+    async def adopt(self, fd: int, carried: object) -> bool:
+        """Go on with a connection of another process, which is owed an answer; False if it has closed."""
+        sock = socket.socket(fileno=fd)
+        sock.setblocking(False)
+        try:
+            _, connection = await self._loop.connect_accepted_socket(self, sock)
+        except OSError:
+            sock.close()
+            return False
+        if connection.peer() == "?":
+            return False
+        connection.adopted = carried
+        connection.data_received(ADOPTED)
+        return True
 
     def close(self) -> None:
         """Accept no more; end what is open."""
@@ -264,7 +333,7 @@
             connection.retire(now)
 
     def _resume(self) -> None:
-        if self._socket:
+        if self._socket and self.accepting:
             self._loop.add_reader(self._socket, self._accept)
 
     def _pause(self) -> None:
@@ -312,6 +381,13 @@
         return bool(going)
 
 
+def inherit(fd: int) -> socket.socket:
+    """The listening socket that the platform holds: never bound, shut down or unlinked by us."""
+    sock = socket.socket(fileno=os.dup(fd))
+    sock.setblocking(False)
+    return sock
+
+
 def bind(address: Address, key: str) -> socket.socket:
     """A listening socket of our own; ``key`` is the setting to name where that can't be."""
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -4,9 +4,9 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from itertools import count
+from typing import Any
 
-from robinhill import api
+from robinhill import api, memory
 from robinhill.config import Config
 from robinhill.logic import Balancer
 from robinhill.net import endpoint as ep
@@ -19,6 +19,8 @@
 
 log = logging.getLogger(__name__)
 
+Json = dict[str, Any]
+NUMBERS_APART = 1_000_000  # jobs of a predecessor keep their numbers: those of our own start so far behind
 SEEN_IDS = 16_384  # some 2 MB; ten minutes of a busy day
 
 _STATES = {
@@ -52,7 +54,7 @@
     cached: bool = False
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, frozen=True, eq=False)
 class Due:
     """A timer of the module's."""
 
@@ -66,11 +68,31 @@
     instance_id: str
     out: bool
     reply: asyncio.Future[Answer]
+    known: bool = False  # to another process of this scheduler, though our list may not name it yet
+
+
+@dataclass(slots=True, frozen=True)
+class Release:
+    """The successor is to go on with a request; ``reply`` gets what it needs, or None while it can't go."""
+
+    request: JobRequest
+    reply: asyncio.Future[Json | None]
+
+
+@dataclass(slots=True, frozen=True)
+class Adopt:
+    """Go on with a request that another process has released; ``reply`` is where its final answer goes."""
+
+    request: JobRequest
+    told: Json
+    reply: asyncio.Future[Answer]
+    done: asyncio.Event  # it is here
 
 
 ToDecider = (
-    Taken | ClientLeft | Listed | HoldOut | Due | JobEvent | ep.Started | ep.Ended | ep.Probed | ep.Retired
-)
+    Taken | ClientLeft | Listed | HoldOut | Release | Adopt | Due | JobEvent
+    | ep.Started | ep.Ended | ep.Probed | ep.Retired | ep.Gone
+)  # fmt: skip
 
 
 @dataclass(slots=True, eq=False)
@@ -85,6 +107,7 @@
     out: int = 0  # attempts that are out
     endpoints: list[str] = field(default_factory=list)  # of each attempt so far
     endings: list[str] = field(default_factory=list)  # what became of each that is over, for the log
+    leaving: asyncio.Future[Json | None] | None = None  # while it is to go to another process
 
 
 class Decider(Actor[ToDecider]):
@@ -108,7 +131,12 @@
         self.jobs: dict[str, int] = {}  # the wire's ids are text, the module's numbers
         # Ids of late. An endpoint knows a request in the form it got first, and turns away any other.
         self.seen: dict[str, None] = {}
-        self.numbers = count(1)
+        self.next_number = 1
+        self._timers: dict[Due, int] = {}  # that are set, and when they are due
+        # Requests on their way to another process: what is said of one waits until it is there, or stays.
+        self.moving: dict[str, asyncio.Event] = {}
+        self.elsewhere: Callable[[JobEvent], None] = lambda event: None  # brings such an event there
+        self.listed_once = asyncio.Event()  # discovery has answered, or failed to
         self.destinations: dict[str, Destination] = {}
         self.endpoints: dict[str, ep.Endpoint] = {}
         self.state = State(config.folder)
@@ -118,9 +146,9 @@
         self.zones = list(config.zones)
         self.machine_types = list(config.machine_types)
 
-    def start(self) -> None:
+    def start(self, known: DestinationList | None = None) -> None:
         self._perform(self.balancer.start(self.clock.now_us()))
-        self._listed(Listed(self.config.known, cached=True))
+        self._listed(Listed(known or self.config.known, cached=True))
         super().start()
 
     def receive(self, message: ToDecider) -> None:
@@ -128,8 +156,7 @@
             case Taken():
                 self._taken(message)
             case JobEvent():
-                if endpoint := self.endpoints.get(message.source):
-                    endpoint.tell(message)
+                self._job_event(message)
             case ep.Started(job=job, attempt=attempt, share=None):
                 self._decide(api.JobStarted(job, attempt))
             case ep.Started(job=job, attempt=attempt, share=share):
@@ -137,17 +164,24 @@
             case ep.Ended():
                 self._ended(message)
             case Due(tag=tag):
+                self._timers.pop(message, None)
                 self._decide(api.TimerFired(tag))
             case ClientLeft(request=request):
                 self._client_left(request)
             case Listed():
                 self._listed(message)
-            case HoldOut(instance_id=instance_id, out=out, reply=reply):
-                answer = self.hold_out(instance_id, out)
+            case HoldOut(instance_id=instance_id, out=out, reply=reply, known=known):
+                answer = self._hold_out(instance_id, out, known)
                 if not reply.done():
                     reply.set_result(answer)
             case ep.Probed(instance_id=instance_id, alive=alive):
                 self._decide(api.ProbeEnded(instance_id, alive))
+            case Release():
+                self._release(message)
+            case ep.Gone(job=job, attempt=attempt):
+                self._gone(job, attempt)
+            case Adopt():
+                self._adopt(message)
             case ep.Retired(instance_id=instance_id):
                 self._retired(instance_id)
 
@@ -166,7 +200,7 @@
                 case api.Cancel(job=job, attempt=attempt):
                     self._cancel(job, attempt)
                 case api.SetTimer(after_us=after, tag=tag):
-                    asyncio.get_running_loop().call_later(after / 1e6, self.tell, Due(tag))
+                    self._set_timer(after, tag)
                 case api.Subscribe():
                     self.subscribe()
                 case api.Probe(address=address):
@@ -195,7 +229,8 @@
         self.seen[request.id] = None
         if len(self.seen) > SEEN_IDS:
             del self.seen[next(iter(self.seen))]
-        job = self.jobs[request.id] = next(self.numbers)
+        job = self.jobs[request.id] = self.next_number
+        self.next_number += 1
         deadline_us = taken.arrived_us + request.time_left_us
         self.figures.taken()
         self.held[job] = _Held(job, request, deadline_us, taken.reply)
@@ -238,6 +273,8 @@
     def _answer(self, job: int, answer: Answer) -> None:
         held = self.held[job]
         held.owed = False
+        if held.leaving:
+            self._stay(held)
         self.figures.answered(held.request.job_class, answer)
         if answer is messages.FAILED:
             name = self.config.classes[held.request.job_class]
@@ -253,6 +290,8 @@
         held = self.held.get(self.jobs.get(request.id, 0))
         if held and held.owed and held.request is request:  # not another with the same id
             held.owed = False
+            if held.leaving:
+                self._stay(held)
             self.figures.left()
             self._decide(api.ClientGone(held.job))
             self._forget(held)
@@ -262,9 +301,129 @@
             del self.held[held.job]
             del self.jobs[held.request.id]
 
+    def _job_event(self, event: JobEvent) -> None:
+        if event.id in self.moving or not self.holds(event.id):
+            self.elsewhere(event)
+        elif endpoint := self.endpoints.get(event.source):
+            endpoint.tell(event)
+
+    def _set_timer(self, after_us: int, tag: str) -> None:
+        due = Due(tag)
+        self._timers[due] = self.clock.now_us() + after_us
+        asyncio.get_running_loop().call_later(after_us / 1e6, self.tell, due)
+
+    # Between two processes of one scheduler
+
+    def holds(self, request_id: str) -> bool:
+        """Whether an endpoint's call about this request is for this process."""
+        return request_id in self.jobs
+
+    def memory(self) -> Json:
+        """What a successor must know to decide as one with this process."""
+        return {
+            "module": memory.learned(self.balancer),
+            "seen": list(self.seen),
+            "held_out": sorted(self.held_out),
+            "outages": self.outages,
+            "next": self.next_number,
+        }
+
+    def close_idle(self) -> None:
+        """Leave the workers' connections to the other process."""
+        for endpoint in self.endpoints.values():
+            endpoint.tell(ep.CloseIdle())
+
+    def recall(self, told: Json) -> None:
+        """Go on from what a predecessor knows."""
+        self.seen = dict.fromkeys(told["seen"]) | self.seen
+        self.next_number = told["next"] + NUMBERS_APART
+        self.held_out, self.outages = set(told["held_out"]), {k: tuple(v) for k, v in told["outages"].items()}
+        for destination in self.listed():
+            self._update(destination)
+        self._decide(api.WorkersListed(api.ListKind.CACHED, [self._worker(d) for d in self.listed()]))
+        memory.recall(self.balancer, told["module"])
+
+    def _release(self, message: Release) -> None:
+        held = self.held.get(self.jobs.get(message.request.id, 0))
+        if held is None or held.request is not message.request or not held.owed or held.leaving:
+            message.reply.set_result(None)
+            return
+        held.leaving = message.reply
+        self.moving[held.request.id] = asyncio.Event()
+        # What endpoints have said of it is before this in the endpoint's mailbox, and its ending before the
+        # answer in ours.
+        endpoint = self.endpoints.get(held.endpoints[-1]) if held.out else None
+        if held.out == 0:
+            self._gone(held.job, None)
+        elif held.out == 1 and endpoint:
+            endpoint.tell(ep.LetGo(held.job, held.request.id))
+        else:
+            self._stay(held)
+
+    def _stay(self, held: _Held) -> None:
+        if held.leaving and not held.leaving.done():
+            held.leaving.set_result(None)
+        held.leaving = None
+        self.moved(held.request.id)
+
+    def moved(self, request_id: str) -> None:
+        """A request on its way has come to the other process, or stays here."""
+        if moving := self.moving.pop(request_id, None):
+            moving.set()
+
+    def _gone(self, job: int, attempt: ep.Resume | None) -> None:
+        held = self.held.get(job)
+        if held is None or held.leaving is None:
+            return  # it has ended meanwhile
+        if held.leaving.done() or not held.owed or held.out > (attempt is not None):
+            self._stay(held)
+            if attempt:
+                self.endpoints[held.endpoints[-1]].tell(attempt)
+            return
+        module = memory.release(self.balancer, job)
+        assert module, "a request that is owed an answer is the module's"
+        told: Json = {
+            "job": job,
+            "deadline_us": held.deadline_us,
+            "endpoints": held.endpoints,
+            "endings": held.endings,
+            "attempt": attempt
+            and {"until_us": attempt.until_us, "final": attempt.final, "sent_us": attempt.sent_us},
+            "destination": attempt and messages.write_destination(self.destinations[held.endpoints[-1]]),
+            "module": module,
+            "timers": [[at, due.tag] for due, at in self._timers.items() if memory.concerns(due.tag, job)],
+        }
+        held.leaving.set_result(told)
+        self.figures.left()
+        del self.held[job]
+        del self.jobs[held.request.id]
+
+    def _adopt(self, message: Adopt) -> None:
+        told, request, now = message.told, message.request, self.clock.now_us()
+        job = told["job"]
+        self.figures.taken()
+        self.seen[request.id] = None
+        held = _Held(job, request, told["deadline_us"], message.reply)
+        held.endpoints, held.endings = told["endpoints"], told["endings"]
+        self.held[job], self.jobs[request.id] = held, job
+        if attempt := told["attempt"]:
+            address = held.endpoints[-1]
+            held.out = 1
+            if (endpoint := self.endpoints.get(address)) is None:  # it has left the list meanwhile
+                left = messages.read_destination(told["destination"] | {"lifecycle": "left"})
+                self.destinations[address] = left
+                endpoint = self._open(left)
+            endpoint.tell(ep.Resume(job=job, attempt=len(held.endpoints) - 1, request=request, **attempt))
+        for at, tag in told["timers"]:
+            self._set_timer(max(0, at - now), tag)
+        self._perform(memory.resume(self.balancer, now, told["module"]))
+        message.done.set()
+
     # The destination set
 
     def _listed(self, listed: Listed) -> None:
+        if not listed.cached:
+            self.listed_once.set()
         if listed.list is None:
             self._decide(api.WorkersListed(api.ListKind.FAILED))
             return
@@ -288,6 +447,9 @@
         if destination.lifecycle is Lifecycle.LEFT:
             del self.destinations[destination.instance_id]
             return
+        self._open(told)
+
+    def _open(self, told: Destination) -> ep.Endpoint:
         settings = self.config.settings
         endpoint = ep.Endpoint(
             told,
@@ -298,8 +460,9 @@
             self.figures,
             self.tell,
         )
-        self.endpoints[destination.instance_id] = endpoint
+        self.endpoints[told.instance_id] = endpoint
         endpoint.start()
+        return endpoint
 
     def _effective(self, d: Destination) -> Destination:
         """As module and endpoint are to see it: what operators have said goes before the list's words.
@@ -312,11 +475,11 @@
         out_us, back_us = self.outages.get(d.instance_id, (0, 0))
         return replace(d, started_us=back_us) if back_us and d.started_us < out_us else d
 
-    def hold_out(self, instance_id: str, out: bool) -> Answer:
+    def _hold_out(self, instance_id: str, out: bool, known: bool) -> Answer:
         """Leave an endpoint out until it is called back; saying so twice changes nothing."""
         destination = self.destinations.get(instance_id)
         listed = destination is not None and destination.lifecycle is not Lifecycle.LEFT
-        if not listed and instance_id not in self.held_out:
+        if not (listed or known or instance_id in self.held_out):
             return Answer(404, b"no such worker\n")
         if (instance_id in self.held_out) is out:
             return DONE
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -62,6 +62,26 @@
     """Close the connections that carry nothing."""
 
 
+@dataclass(slots=True, frozen=True)
+class LetGo:
+    """Another process is to go on with a request's attempt, if this endpoint has accepted it."""
+
+    job: int
+    request_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class Resume:
+    """Go on with an attempt that another process has let go; its endpoint has accepted it."""
+
+    job: int
+    attempt: int
+    request: JobRequest
+    until_us: int
+    final: bool
+    sent_us: int
+
+
 # From the endpoint
 
 
@@ -100,7 +120,15 @@
     instance_id: str
 
 
-FromEndpoint = Started | Ended | Probed | Retired
+@dataclass(slots=True, frozen=True)
+class Gone:
+    """What became of a LetGo: the attempt, forgotten here, or None while it can't go."""
+
+    job: int
+    attempt: Resume | None
+
+
+FromEndpoint = Started | Ended | Probed | Retired | Gone
 
 
 class _Phase(Enum):
@@ -146,7 +174,10 @@
     task: asyncio.Task[None]
 
 
-ToEndpoint = Dispatch | Withdraw | Destination | JobEvent | Probe | CloseIdle | _Over | _Expired | _CallDone
+ToEndpoint = (
+    Dispatch | Withdraw | LetGo | Resume | Destination | JobEvent | Probe | CloseIdle
+    | _Over | _Expired | _CallDone
+)  # fmt: skip
 
 
 class _NotWrittenError(Exception):
@@ -237,6 +268,10 @@
                 self._job_event(message)
             case Withdraw():
                 self._withdraw(message)
+            case LetGo():
+                self._let_go(message)
+            case Resume():
+                self._resume(message)
             case Destination():
                 moved = message.host_port != self.destination.host_port
                 self.destination = message
@@ -275,10 +310,34 @@
         request, now = message.request, self.clock.now_us()
         attempt = _Attempt(message.job, message.attempt, request, message.until_us, message.final, now)
         self.attempts[request.id] = attempt
-        delay_s = max(0, message.until_us - now) / 1e6
-        attempt.timer = asyncio.get_running_loop().call_later(delay_s, self.tell, _Expired(attempt))
+        self._limit(attempt)
         attempt.exchange = self.supervisor.spawn(self._exchange(attempt), f"attempt {request.id}")
 
+    def _limit(self, attempt: _Attempt) -> None:
+        delay_s = max(0, attempt.until_us - self.clock.now_us()) / 1e6
+        attempt.timer = asyncio.get_running_loop().call_later(delay_s, self.tell, _Expired(attempt))
+
+    def _let_go(self, message: LetGo) -> None:
+        attempt = self.attempts.get(message.request_id)
+        gone = None
+        if attempt and attempt.phase is _Phase.ACCEPTED and not (attempt.over or attempt.withdrawn):
+            attempt.over = True
+            if attempt.timer:
+                attempt.timer.cancel()
+            del self.attempts[message.request_id]
+            gone = Resume(
+                attempt.job, attempt.number, attempt.request, attempt.until_us, attempt.final, attempt.sent_us
+            )
+        self.report(Gone(message.job, gone))
+
+    def _resume(self, message: Resume) -> None:
+        attempt = _Attempt(
+            message.job, message.attempt, message.request, message.until_us, message.final, message.sent_us,
+            _Phase.ACCEPTED,
+        )  # fmt: skip
+        self.attempts[message.request.id] = attempt
+        self._limit(attempt)
+
     async def _exchange(self, attempt: _Attempt) -> None:
         """Hand the job over; what the answer or its absence proves is PROTOCOL's table."""
         request = attempt.request
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -1,7 +1,10 @@
 """The inbound side: the listener for clients, for the front's /ready and for the endpoints' calls."""
 
 import asyncio
-from collections.abc import Callable
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
 
 from aiohttp import web
 
@@ -9,10 +12,10 @@
 from robinhill.net import messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
-from robinhill.net.connections import FRONT_S, SWEEP_S, Listener, bind, connection_of, reject
+from robinhill.net.connections import FRONT_S, SWEEP_S, Connection, Listener, connection_of, reject
 from robinhill.net.decider import ClientLeft, Taken
 from robinhill.net.figures import Figures
-from robinhill.net.messages import Answer, JobEvent
+from robinhill.net.messages import Answer, JobEvent, JobRequest
 
 JOB_EVENTS = "/v1/job-events"
 READY = "/ready"
@@ -20,6 +23,17 @@
 RETURN_US = 700_000
 
 
+Json = dict[str, Any]
+
+
+@dataclass(slots=True, frozen=True)
+class _Answering:
+    """A request whose answer a connection waits for."""
+
+    request: JobRequest
+    reply: asyncio.Future[Answer]
+
+
 class Inbound:
     """Serves one address; each connection is aiohttp's, each message goes to the decider's mailbox."""
 
@@ -29,25 +43,31 @@
         supervisor: Supervisor,
         clock: Clock,
         figures: Figures,
-        report: Callable[[Taken | ClientLeft | JobEvent], None],
+        report: Callable[[Taken | ClientLeft], None],
+        deliver: Callable[[JobEvent], Awaitable[None]],
     ) -> None:
         self.config = config
         self.supervisor = supervisor
         self.clock = clock
         self.figures = figures
         self.report = report
+        self.deliver = deliver
         self.deadlines_us = tuple(c.deadline_us for c in config.settings.classes)
         self.drained = False  # by operators: clients should go elsewhere
         self._drains: asyncio.Task[None] | None = None
+        self.serving = False  # it accepts
+        self.succeeded = False  # another process accepts in its place
+        self.answering: dict[Connection, _Answering] = {}
         self.leaving = False  # answers close their connection
         self.closed_to_new = False  # new requests are refused
         self.owed = 0
         self.none_owed = asyncio.Event()
         self.none_owed.set()
-        self._listener = Listener(self._handle, config.client_sockets, supervisor, messages.MAX_BODY)
+        self._listener = Listener(self._handle, config.client_sockets(), supervisor, messages.MAX_BODY)
 
-    def start(self) -> None:
-        self._listener.listen(bind(self.config.listen, "GW_LISTEN"))
+    def start(self, sock: socket.socket) -> None:
+        self.serving = True
+        self._listener.listen(sock)
 
     async def close(self) -> None:
         self._listener.close()
@@ -57,7 +77,14 @@
         path = request.rel_url.raw_path
         if request.method == "GET" and path == READY:
             # Asked once: a connection kept behind it would only take a descriptor.
-            return self._respond(Answer(200 if self.ready else 503, b"", close=True))
+            # Our successor is at the same address: a no on a connection to us would keep clients from it.
+            ready = self.ready or (self.succeeded and not self.drained)
+            return self._respond(Answer(200 if ready else 503, b"", close=True))
+        if adopted := connection_of(request).adopted:
+            assert isinstance(adopted, _Answering)
+            connection_of(request).adopted = None
+            connection_of(request).claim(useful=True)
+            return await self._answer(connection_of(request), adopted)
         if request.method != "POST":
             return reject(request, 405, "jobs come by POST")
         if path == JOB_EVENTS:
@@ -65,14 +92,14 @@
             connection = connection_of(request)
             connection.claim(useful=True)
             connection.calls_back = True
-            self.report(event)
+            await self.deliver(event)
             return web.Response(status=204)
         return await self._job(request)
 
     @property
     def ready(self) -> bool:
         """Whether clients should come here."""
-        return not (self.leaving or self.drained)
+        return self.serving and not (self.leaving or self.drained or self.succeeded)
 
     def drain(self, start: bool) -> None:
         """Send clients elsewhere, or take them again; nothing is refused, and endpoints go on calling."""
@@ -100,19 +127,71 @@
             self.figures.turned_away(job.job_class, refusal)
             return self._respond(refusal)
         reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        self.report(Taken(job, arrived_us, reply))
+        return await self._answer(connection_of(request), _Answering(job, reply))
+
+    async def _answer(self, connection: Connection, owed: "_Answering") -> web.StreamResponse:
         self.owed += 1
         self.none_owed.clear()
+        self.answering[connection] = owed
         try:
-            self.report(Taken(job, arrived_us, reply))
-            return self._respond(await reply)
+            return self._respond(await owed.reply)
         except asyncio.CancelledError:
-            self.report(ClientLeft(job))
+            if not connection.handed:
+                self.report(ClientLeft(owed.request))
             raise
         finally:
+            del self.answering[connection]
             self.owed -= 1
             if not self.owed:
                 self.none_owed.set()
 
+    # Between two processes
+
+    def share(self, budget: int) -> None:
+        """Keep to so many connections from now on."""
+        self._listener.share(budget)
+
+    def succeed(self, yes: bool, budget: int) -> None:
+        """Another process accepts in place of this one, or none does any more."""
+        self.succeeded = yes
+        self.share(budget)
+        if self.serving:
+            self._listener.accept(not yes)
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing is owed, and no request is half here."""
+        return not self.owed and not any(connection.halfway for connection in self._listener.open)
+
+    async def hand_over(
+        self,
+        release: Callable[[JobRequest], Awaitable[Json | None]],
+        send: Callable[[Json, int], Awaitable[bool]],
+    ) -> None:
+        """Let another process answer what is owed, as far as it can go now; idle connections end."""
+        self._listener.retire_idle()
+        for connection, owed in list(self.answering.items()):
+            if not connection.hold():
+                continue
+            told = await release(owed.request)
+            fd = connection.hand_over() if told else None
+            if told is None:
+                connection.stay()
+            elif fd is None:
+                owed.reply.cancel()  # its client has gone meanwhile
+            elif await send(told | {"request": messages.write_handed(owed.request)}, fd):
+                connection.forget()
+            else:
+                connection.stay()
+                if not owed.reply.done():
+                    owed.reply.set_result(messages.FAILED)
+
+    async def adopt(self, request: JobRequest, reply: asyncio.Future[Answer], fd: int) -> None:
+        """Answer what another process was owing."""
+        if not await self._listener.adopt(fd, _Answering(request, reply)):
+            self.report(ClientLeft(request))
+
     def _respond(self, answer: Answer) -> web.Response:
         response = web.Response(status=answer.status, body=answer.body, headers=answer.headers())
         if not self.ready or answer.close:
--- /dev/null
+++ b/robinhill/net/link.py
@@ -0,0 +1,136 @@
+"""A link between two processes of one scheduler: a Unix socket, a JSON object a line, asks and answers."""
+
+import array
+import asyncio
+import contextlib
+import logging
+import os
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+from itertools import count
+from typing import Any
+
+import orjson
+
+from robinhill.net.actor import Supervisor
+
+log = logging.getLogger(__name__)
+
+Json = dict[str, Any]
+RETRY_S = 0.005  # a socket whose buffer is full is tried again so much later
+MOST_FDS = 16
+
+
+class LinkLostError(Exception):
+    """The other process has gone."""
+
+
+class Link:
+    """One side. ``serve`` answers what the other asks; a descriptor that came with it must be taken by it."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        supervisor: Supervisor,
+        serve: Callable[["Link", str, Json, int | None], Awaitable[Json]],
+    ) -> None:
+        sock.setblocking(False)
+        self.sock = sock
+        self.supervisor = supervisor
+        self.serve = serve
+        self.lost = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._numbers = count(1)
+        self._asked: dict[int, asyncio.Future[Json]] = {}
+        self._outbox: asyncio.Queue[tuple[bytes, int | None]] = asyncio.Queue()
+        self._buffer = bytearray()
+        self._fds: deque[int] = deque()
+        self._loop.add_reader(sock, self._read)
+        self._writer = supervisor.spawn(self._write(), "link")
+
+    async def ask(self, what: str, body: Json | None = None, fd: int | None = None) -> Json:
+        """The other's answer. Asks arrive in order; a descriptor given here is closed once it is sent."""
+        if self.lost.is_set():
+            if fd is not None:
+                os.close(fd)
+            raise LinkLostError
+        number = next(self._numbers)
+        answer: asyncio.Future[Json] = self._loop.create_future()
+        self._asked[number] = answer
+        self._put({"ask": number, "what": what, "fd": fd is not None, "body": body or {}}, fd)
+        try:
+            return await answer
+        finally:
+            self._asked.pop(number, None)
+
+    def close(self) -> None:
+        if self.lost.is_set():
+            return
+        self.lost.set()
+        self._loop.remove_reader(self.sock)
+        self._writer.cancel()
+        self.sock.close()
+        for answer in self._asked.values():
+            if not answer.done():
+                answer.set_exception(LinkLostError())
+        for fd in self._fds:
+            os.close(fd)
+        while not self._outbox.empty():
+            _, unsent = self._outbox.get_nowait()
+            if unsent is not None:
+                os.close(unsent)
+
+    def _put(self, message: Json, fd: int | None = None) -> None:
+        self._outbox.put_nowait((orjson.dumps(message) + b"\n", fd))
+
+    async def _write(self) -> None:
+        while True:
+            data, fd = await self._outbox.get()
+            try:
+                if fd is not None:
+                    data = data[await self._send_with(data, fd) :]
+                await self._loop.sock_sendall(self.sock, data)
+            except OSError as e:
+                log.debug("link_broke", extra={"why": str(e)})
+                self._loop.call_soon(self.close)
+                return
+
+    async def _send_with(self, data: bytes, fd: int) -> int:
+        rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [fd]))]
+        try:
+            while True:
+                with contextlib.suppress(BlockingIOError, InterruptedError):
+                    return self.sock.sendmsg([data], rights)
+                await asyncio.sleep(RETRY_S)
+        finally:
+            os.close(fd)
+
+    def _read(self) -> None:
+        try:
+            data, fds, _, _ = socket.recv_fds(self.sock, 1 << 18, MOST_FDS)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data, fds = b"", []
+        self._fds.extend(fds)
+        if not data:
+            self.close()
+            return
+        self._buffer += data
+        *lines, rest = self._buffer.split(b"\n")
+        self._buffer = rest
+        for line in lines:
+            self._receive(orjson.loads(line))
+
+    def _receive(self, message: Json) -> None:
+        if "ask" in message:
+            fd = self._fds.popleft() if message["fd"] else None
+            self.supervisor.spawn(self._answer(message, fd), f"link {message['what']}")
+        elif (answer := self._asked.get(message["answer"])) and not answer.done():
+            answer.set_result(message["body"])
+
+    async def _answer(self, message: Json, fd: int | None) -> None:
+        body = await self.serve(self, message["what"], message["body"], fd)
+        if not self.lost.is_set():
+            self._put({"answer": message["ask"], "body": body})
--- a/robinhill/net/messages.py
+++ b/robinhill/net/messages.py
@@ -4,6 +4,7 @@
 import re
 from dataclasses import dataclass
 from enum import Enum
+from typing import Any
 from urllib.parse import quote
 
 import orjson
@@ -96,6 +97,25 @@
     return left_us
 
 
+def write_handed(request: JobRequest) -> dict[str, object]:
+    """Encode a request for another process of this scheduler; its body is any bytes."""
+    return {
+        "id": request.id,
+        "job_class": request.job_class,
+        "time_left_us": request.time_left_us,
+        "client_repeat": request.client_repeat,
+        "target": request.target,
+        "body": request.body.decode("latin-1"),
+        "headers": request.headers,
+    }
+
+
+def read_handed(data: dict[str, Any]) -> JobRequest:
+    """Decode such a request."""
+    headers = tuple((key, value) for key, value in data["headers"])
+    return JobRequest(**(data | {"body": data["body"].encode("latin-1"), "headers": headers}))
+
+
 def cancel_target(wire_id: str) -> str:
     return f"/jobs/{quote(wire_id, safe='')}"
 
@@ -156,7 +176,10 @@
 
 def read_job_event(body: bytes) -> JobEvent:
     """Decode one call to /v1/job-events."""
-    data = _load(body)
+    return job_event(_load(body))
+
+
+def job_event(data: dict[str, object]) -> JobEvent:
     wire_id, source, result = data.get("id"), data.get("from"), data.get("result", "")
     if not (isinstance(wire_id, str) and isinstance(source, str)):
         raise MalformedError("id and from must be text")
@@ -170,6 +193,17 @@
     return JobEvent(wire_id, source, state, share, result if isinstance(result, str) else "")
 
 
+def write_job_event(event: JobEvent) -> dict[str, Any]:
+    """Encode such a call for another process of this scheduler, which gets it as an object."""
+    return {
+        "id": event.id,
+        "from": event.source,
+        "state": event.state.value,
+        "share": event.share,
+        "result": event.result,
+    }
+
+
 class Lifecycle(Enum):
     """Where an endpoint stands on discovery's list."""
 
@@ -221,10 +255,24 @@
     generation, reset, instances = data.get("generation"), data.get("reset", False), data.get("instances", [])
     if type(generation) is not int or type(reset) is not bool or not isinstance(instances, list):
         raise MalformedError("generation must be a whole number, reset true or false, instances a list")
-    return DestinationList(generation, reset, tuple(_destination(x) for x in instances))
+    return DestinationList(generation, reset, tuple(read_destination(x) for x in instances))
+
+
+def write_destination(d: Destination) -> dict[str, object]:
+    """Encode an entry as discovery does, for another process of this scheduler."""
+    return {
+        "instanceId": d.instance_id,
+        "hostPort": d.host_port,
+        "zone": d.zone,
+        "machineType": d.machine_type,
+        "cell": d.cell,
+        "lifecycle": d.lifecycle.value,
+        "weight": d.weight,
+        "startedAtMs": d.started_us / 1000,
+    }
 
 
-def _destination(data: object) -> Destination:
+def read_destination(data: object) -> Destination:
     if not isinstance(data, dict):
         raise MalformedError("instances must hold objects")
     texts = [data.get(key) for key in ("instanceId", "hostPort", "zone", "machineType")]
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -9,19 +9,28 @@
 
 from robinhill import config as configuration
 from robinhill.config import Config
+from robinhill.net import messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
-from robinhill.net.decider import Decider, HoldOut
+from robinhill.net.connections import bind, inherit
+from robinhill.net.decider import Adopt, Decider, HoldOut, Release
 from robinhill.net.destinations import Destinations, Move, Watch
 from robinhill.net.figures import Figures
 from robinhill.net.inbound import Inbound
-from robinhill.net.messages import DONE, Answer
+from robinhill.net.link import LinkLostError
+from robinhill.net.messages import DONE, Answer, JobEvent, JobRequest
 from robinhill.net.operators import Calls, Operators
+from robinhill.net.succession import Succession
 
 log = logging.getLogger(__name__)
 
+Json = dict[str, Any]
 TAKE_ON_S = 0.7  # after SIGTERM: what still arrives in this time is taken
 FLUSH_S = 0.05  # for the last answers to leave
+HAND_OVER_S = 0.05  # how often what is owed is looked at while a successor takes it
+LIST_S = 1.5  # for discovery's first answer to a successor; its predecessor's list counts meanwhile
+START_S = 0.9  # an operator's call to a process that still starts is answered no after it
+STARTING = Answer(503, b"still starting\n")
 
 
 class Scheduler:
@@ -38,20 +47,55 @@
         self.destinations = Destinations(
             config.discovery, config.known.generation, self.supervisor, self.decider.tell
         )
-        self.inbound = Inbound(config, self.supervisor, self.clock, self.figures, self.decider.tell)
+        self.inbound = Inbound(
+            config, self.supervisor, self.clock, self.figures, self.decider.tell, self._deliver
+        )
         self.operators: Operators | None = None
         if config.ops:
             calls = Calls(self.readiness, self.decider.stats, self.hold_out, self.set_drained)
             self.operators = Operators(config.ops, config.ops_sockets - 1, self.supervisor, calls)
+        self.started = asyncio.Event()  # it accepts
+        self.succession: Succession | None = None
+        if config.socket_fd is not None and config.folder:
+            self.succession = Succession(config.folder, self.supervisor, self)
+            self.decider.elsewhere = lambda event: self._spawn_delivery(event)
 
     async def start(self) -> None:
         if self.operators:
             self.operators.start()
-        self.inbound.start()  # first, as it may fail; what comes at once waits in the mailboxes
-        self.destinations.start()
-        self.decider.start()
+        fd = self.config.socket_fd
+        sock = bind(self.config.listen, "GW_LISTEN") if fd is None else inherit(fd)
+        if self.succession and self.succession.find():
+            await self._take_over(self.succession)
+        else:
+            self.decider.start()
+            self.destinations.start()
+        self.inbound.start(sock)
+        if self.succession:
+            await self.succession.begin()
+        self.started.set()
         log.info("started", extra={"scheduler": self.config.name, "listen": self.config.listen})
 
+    async def _take_over(self, succession: Succession) -> None:
+        """Learn what the predecessor knows, and hear discovery ourselves, before we accept."""
+        self.inbound.succeed(False, self.config.client_sockets(2))
+        told = await succession.ask("hello")
+        if told and told["discovery"] == str(self.config.discovery):
+            known = messages.read_destinations(told["known"])
+            self.destinations.generation = known.generation
+            self.decider.start(known)
+        else:
+            self.decider.start()
+        self.destinations.start()
+        try:
+            async with asyncio.timeout(LIST_S):
+                await self.decider.listed_once.wait()
+        except TimeoutError:
+            log.warning("list_awaited", extra={"seconds": LIST_S})
+        if told and (memory := await succession.ask("memory")):
+            self.decider.recall(memory["decider"])
+            self.inbound.drain(memory["drained"])
+
     def reload(self) -> None:
         """Take the file's new values; a faulty one changes nothing. Requests in flight go on as they are."""
         try:
@@ -71,36 +115,146 @@
     async def drain(self) -> None:
         """Take requests a little longer, then refuse new ones, until all that was taken is answered.
 
-        The listener stays up: endpoints call back at the clients' address.
+        The listener stays up: endpoints call back at the clients' address. Where a successor has it, that one
+        also takes what is owed.
         """
         log.info("draining", extra={"owed": self.inbound.owed})
         self.inbound.leaving = True
+        if await self._leave_to_successor():
+            return
         await asyncio.sleep(TAKE_ON_S)
         self.inbound.closed_to_new = True
         log.info("refusing", extra={"owed": self.inbound.owed})
         await self.inbound.none_owed.wait()
         await asyncio.sleep(FLUSH_S)
 
+    async def _leave_to_successor(self) -> bool:
+        """Whether there was one until all was settled."""
+        while self.inbound.succeeded:
+            await self.inbound.hand_over(self._release, self._send_over)
+            if self.inbound.settled:
+                await asyncio.sleep(FLUSH_S)
+                return self.inbound.succeeded
+            await asyncio.sleep(HAND_OVER_S)
+        return False
+
+    # Operators' calls
+
     def readiness(self) -> Answer:
         """Whether this process is ready to serve."""
-        return Answer(200, b"ready\n") if self.inbound.ready else Answer(503, b"not ready\n")
+        ready = self.inbound.ready and self.started.is_set()
+        return Answer(200, b"ready\n") if ready else Answer(503, b"not ready\n")
 
     async def hold_out(self, instance_id: str, out: bool) -> Answer:
         """Leave a worker out, or call it back."""
-        reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self.decider.tell(HoldOut(instance_id, out, reply))
-        return await reply
+        return await self._obeyed("hold_out", {"id": instance_id, "out": out})
 
     async def set_drained(self, start: bool) -> Answer:
         """Send clients elsewhere, or take them again."""
-        log.info("drain_started" if start else "drain_stopped")
-        self.inbound.drain(start)
+        return await self._obeyed("drain", {"start": start})
+
+    async def _obeyed(self, what: str, body: Json) -> Answer:
+        """Do it here and in the other process, if there is one; what the caller is told."""
+        try:
+            async with asyncio.timeout(START_S):
+                await self.started.wait()
+        except TimeoutError:
+            return STARTING
+        answer = await self._obey(what, body, False)
+        if answer.status == 200 and self.succession and not await self.succession.tell_all(what, body):
+            return Answer(500, b"the other process of this scheduler has not said yes\n")
+        return answer
+
+    async def _obey(self, what: str, body: Json, known: bool) -> Answer:
+        if what == "hold_out":
+            reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+            self.decider.tell(HoldOut(body["id"], body["out"], reply, known))
+            return await reply
+        log.info("drain_started" if body["start"] else "drain_stopped")
+        self.inbound.drain(body["start"])
         return DONE
 
+    # Between two processes
+
+    async def _deliver(self, event: JobEvent) -> None:
+        """Bring an endpoint's call to the process that holds its request; returns once that one has it."""
+        if moving := self.decider.moving.get(event.id):
+            await moving.wait()
+        if (
+            not self.decider.holds(event.id)
+            and self.succession
+            and await self.succession.forward(messages.write_job_event(event))
+        ):
+            return
+        if self.decider.holds(event.id):  # it may have come here meanwhile
+            self.decider.tell(event)
+
+    def _spawn_delivery(self, event: JobEvent) -> None:
+        self.supervisor.spawn(self._deliver(event), f"deliver {event.id}")
+
+    async def _release(self, request: JobRequest) -> Json | None:
+        reply: asyncio.Future[Json | None] = asyncio.get_running_loop().create_future()
+        self.decider.tell(Release(request, reply))
+        return await reply
+
+    async def _send_over(self, told: Json, fd: int) -> bool:
+        """Whether the successor has a request now."""
+        request_id = told["request"]["id"]
+        try:
+            assert self.succession and self.succession.successor
+            await self.succession.successor.ask("adopt", told, fd)
+        except LinkLostError:
+            return False
+        finally:
+            self.decider.moved(request_id)
+        log.info("handed_over", extra={"id": request_id})
+        return True
+
+    def hello(self) -> Json:
+        """What a successor needs to watch discovery by itself; it takes a part of what we may use."""
+        self.inbound.share(self.config.client_sockets(2))
+        known = [messages.write_destination(d) for d in self.decider.listed()]
+        generation = self.destinations.generation or 0
+        return {
+            "discovery": str(self.config.discovery),
+            "known": {"generation": generation, "reset": True, "instances": known},
+        }
+
+    def memory(self) -> Json:
+        return {"decider": self.decider.memory(), "drained": self.inbound.drained}
+
+    def succeeded(self, yes: bool) -> None:
+        """A successor accepts; or the other process has gone, and all is ours again."""
+        self.inbound.succeed(yes, self.config.client_sockets(2 if yes else 1))
+        if yes:
+            self.decider.close_idle()
+
+    async def obey(self, what: str, body: Json) -> bool:
+        return (await self._obey(what, body, True)).status == 200
+
+    async def take_event(self, body: Json) -> bool:
+        event = messages.job_event(body)
+        if moving := self.decider.moving.get(event.id):
+            await moving.wait()
+        if not self.decider.holds(event.id):
+            return False
+        self.decider.tell(event)
+        return True
+
+    async def adopt(self, body: Json, fd: int) -> None:
+        request = messages.read_handed(body["request"])
+        reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        done = asyncio.Event()
+        self.decider.tell(Adopt(request, body, reply, done))
+        await done.wait()
+        await self.inbound.adopt(request, reply, fd)
+
     async def close(self) -> None:
         if self.operators:
             await self.operators.close()
         await self.inbound.close()
+        if self.succession:
+            self.succession.close()
         await self.supervisor.close()
         await self.decider.close()
         log.info("stopped")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -14,6 +14,8 @@
     reload TEXT             the configuration file gets these changes, or text that is no JSON; SIGHUP
     term / exit CODE        SIGTERM, and the end of the program
     file NAME TEXT          what a file in $TMPDIR holds
+    inherit                 the listening socket is the player's, and passed on; then also:
+    replace                 a second process; `call`, `term`, `exit` mean that one then, with `old` the first
     call STATUS METHOD PATH [BODY]  an operator's call, and lines of its answer; its connection ends
 
 and short forms of the messages that served.txt spells out:
@@ -48,6 +50,7 @@
 FILES = sorted((ROOT / "tests" / "exchanges").glob("*.txt"))
 WORDS = (
     "workers|set|limits|send|raw|crowd|expect|close|closed|admit|none|log|reload|term|exit|job|take|event|answer|call|file"
+    "|inherit|replace"
 )
 STEP = re.compile(rf"^({WORDS})\b ?(.*)$")
 PATIENCE_S = 10
@@ -112,11 +115,13 @@
 class Player:
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        self.ports: dict[str, socket.socket] = {name: listener() for name in "deso"}
+        self.ports: dict[str, socket.socket] = {name: listener() for name in "desop"}
         self.fillers: dict[str, list[socket.socket]] = {}
         self.peers: dict[str, Connection] = {}
         self.settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
-        self.program: subprocess.Popen[str] | None = None
+        self.programs: list[subprocess.Popen[str]] = []
+        self.passed: tuple[int, ...] = ()
+        self.ops: list[tuple[str, int]] = []
         self.given: dict[str, int] = {}
         self.logged: queue.Queue[str] = queue.Queue()
         self.ports["d"].listen()
@@ -136,35 +141,56 @@
     def limits(self, limits: str, block: str) -> None:
         self.given = json.loads(limits)
 
+    def inherit(self, _: str, block: str) -> None:
+        self.ports["s"].listen(64)
+        self.passed = (self.ports["s"].fileno(),)
+
     def run(self) -> None:
         entry = {"machineType": "std-8", "lifecycle": "active"}
         zones = {name: "townsville" if name.endswith("-t") else "brisbane" for name in self.ports}
         known = [
             {"instanceId": name, "hostPort": address(sock), "zone": zones[name], **entry}
             for name, sock in self.ports.items()
-            if name not in "deso"
+            if name not in "desop"
         ]
-        self.ops = self.ports["o"].getsockname()
         listen = f"127.0.0.1:{self.at[1]}"
         config: dict[str, Any] = {
             "name": "n1", "listen": listen, "discovery": address(self.ports["d"]), "seed": "7",
             "known": {"generation": 41, "reset": True, "instances": known}, "settings": self.settings,
-            "limits": self.given, "ops": address(self.ports["o"]),
+            "limits": self.given,
         }  # fmt: skip
         self.config = config
-        self.ports["s"].close()
-        self.ports["o"].close()
+        if not self.passed:
+            self.ports["s"].close()
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
-        env = {"GW_CONFIG": str(path), "GW_DISCOVERY": config["discovery"], "TMPDIR": str(self.folder)}
-        self.program = subprocess.Popen(
-            [sys.executable, "-m", "robinhill"], env=env, cwd=ROOT, text=True, stderr=subprocess.PIPE
-        )
+        self.start("o")
+
+    def start(self, ops: str) -> None:
+        env = {"GW_CONFIG": str(self.folder / "config.json"), "GW_DISCOVERY": self.config["discovery"]}
+        env |= {"TMPDIR": str(self.folder), "GW_OPS": address(self.ports[ops])}
+        if self.passed:
+            env["GW_SOCKET_FD"] = str(self.passed[0])
+        self.ops.append(self.ports[ops].getsockname())
+        self.ports[ops].close()
+        program = subprocess.Popen(
+            [sys.executable, "-m", "robinhill"], env=env, cwd=ROOT, text=True, stderr=subprocess.PIPE,
+            pass_fds=self.passed,
+        )  # fmt: skip
+        self.programs.append(program)
         if sockets := self.given.get("sockets"):
-            resource.prlimit(self.program.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
-        threading.Thread(target=self._read_log, args=(self.program,), daemon=True).start()
+            resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
+        threading.Thread(target=self._read_log, args=(program,), daemon=True).start()
         self.log("started", "")
 
+    def replace(self, _: str, block: str) -> None:
+        self.start("p")
+
+    def which(self, words: str) -> tuple[int, str]:
+        """The process that a step means, and the rest of its words."""
+        old = words.startswith("old")
+        return (0 if old else len(self.programs) - 1), words.removeprefix("old").strip()
+
     def _read_log(self, program: subprocess.Popen[str]) -> None:
         assert program.stderr
         for line in program.stderr:
@@ -230,8 +256,9 @@
         assert (self.folder / name).read_text() == text
 
     def call(self, words: str, block: str) -> None:
+        which, words = self.which(words)
         status, method, path, *body = words.split()
-        peer = self.peers["call"] = Connection(socket.create_connection(self.ops))
+        peer = self.peers["call"] = Connection(socket.create_connection(self.ops[which]))
         text = "".join(body)
         self.send("call", f"{method} {path} HTTP/1.1\nHost: s\nContent-Length: *\n\n{text}")
         self.answer(f"call {status}", block)
@@ -276,22 +303,21 @@
         for _ in range(int(count)):
             name = f"crowd{len(self.peers)}"
             if ops:
-                self.peers[name] = Connection(socket.create_connection(self.ops))
+                self.peers[name] = Connection(socket.create_connection(self.ops[-1]))
             self.raw(f"{name} 1 {text.removeprefix('ops').strip() or json.dumps('')}", "")
 
     def reload(self, text: str, block: str) -> None:
-        assert self.program
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config | json.loads(self.fill(text))) if "{" in text else text)
-        self.program.send_signal(signal.SIGHUP)
+        self.programs[-1].send_signal(signal.SIGHUP)
 
-    def term(self, _: str, block: str) -> None:
-        assert self.program
-        self.program.send_signal(signal.SIGTERM)
+    def term(self, words: str, block: str) -> None:
+        self.programs[self.which(words)[0]].send_signal(signal.SIGTERM)
         self.log("draining", "")
 
-    def exit(self, code: str, block: str) -> None:
-        assert self.program and self.program.wait(PATIENCE_S) == int(code)
+    def exit(self, words: str, block: str) -> None:
+        which, code = self.which(words)
+        assert self.programs[which].wait(PATIENCE_S) == int(code)
 
     def play(self, text: str) -> None:
         self.at = self.ports["s"].getsockname()
@@ -302,7 +328,7 @@
             elif steps and not line.startswith("#"):
                 steps[-1][2].append(line)
         for word, argument, block in steps:
-            if self.program is None and word not in ("workers", "set", "limits"):
+            if not self.programs and word not in ("workers", "set", "limits", "inherit"):
                 self.run()
             getattr(self, word)(argument, "\n".join(block).strip("\n"))
 
@@ -312,9 +338,9 @@
             peer.sock.close()
         for sock in chain(self.ports.values(), *self.fillers.values()):
             sock.close()
-        if self.program:
-            self.program.kill()
-            self.program.wait()
+        for program in self.programs:
+            program.kill()
+            program.wait()
 
 
 @pytest.fixture
