Give workers their room back as the jobs in flight arrive at the successor

Seen: after each upgrade jobs found no room. memory.recall takes what is out elsewhere from a worker's limit, and resume then counted the same jobs as out here, so a worker with three jobs in flight had room for none.

--- a/robinhill/memory.py
+++ b/robinhill/memory.py
@@ -66,9 +66,9 @@
         _set(seat, values["values"])
         _set(seat.own, values["own"])
         seat.full = dict(values["full"])
-        # What the other process has out there takes room too. The list's word on leaving is newer than its.
+        # What the other process has out there takes room, until it comes here with it (`resume`).
         seat.limit = max(1.0, seat.limit - values["out"])
-        if left_out or seat.shut_us == inf:
+        if left_out or seat.shut_us == inf:  # the list's word on leaving is newer
             seat.shut_us = inf if left_out else 0
 
 
@@ -102,6 +102,7 @@
         flight = balancer.flights[key] = _Flight(seat, now, job, 0, -1)
         _set(flight, there["values"])
         seat.out.add(key)
+        seat.limit += 1.0
         if there["waiting"]:
             seat.waiting = flight
     balancer.out = []
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,66 @@
+"""What a successor's module is told makes it decide as its predecessor would."""
+
+import json
+from typing import Any
+
+from robinhill import api, memory
+
+from .conftest import MS, Node, only, sent_to
+
+
+def successor(old: Node, **changes: Any) -> Node:
+    """A module that has recalled what the old one learned, as it comes out of JSON."""
+    new = Node(len(old.balancer.seats), seed=8, **changes)
+    new.now = old.now
+    memory.recall(new.balancer, json.loads(json.dumps(memory.learned(old.balancer))))
+    return new
+
+
+def test_a_successor_goes_on_with_the_rotation_and_the_speeds() -> None:
+    old = Node(3)
+    for _ in range(30):
+        worker = sent_to(old.ask(after_us=10 * MS))
+        old.end(old.jobs, took_us=400 * MS if worker == "w0" else 40 * MS, after_us=5 * MS)
+    new = successor(old)
+    new.jobs = old.jobs
+    for _ in range(6):
+        assert sent_to(new.ask(after_us=10 * MS)) == sent_to(old.ask(after_us=10 * MS))
+        for node in (new, old):
+            node.end(node.jobs, after_us=5 * MS)
+
+
+def test_an_ejected_worker_stays_out() -> None:
+    old = Node(3)
+    worker = sent_to(old.ask(after_us=10 * MS))
+    old.end(old.jobs, api.Outcome.CONNECT_FAILED, 1 * MS)
+    assert worker in old.balancer.avoided(old.now)
+    assert successor(old).balancer.avoided(old.now) == {worker}
+
+
+def test_a_job_that_is_let_go_ends_in_the_successor_and_leaves_its_room() -> None:
+    """Counted twice, as out elsewhere and as out here, jobs in flight left no room after an upgrade."""
+    changes: dict[str, Any] = {"tells_start": True}
+    old = Node(1, **changes)
+    for _ in range(3):  # each that starts at once shows room for one more
+        old.ask(after_us=10 * MS)
+        old.do(api.JobStarted(old.jobs, 0), after_us=5 * MS)
+    new = successor(old, **changes)
+    for job in range(1, 4):
+        told = json.loads(json.dumps(memory.release(old.balancer, job)))
+        assert not memory.resume(new.balancer, new.now, told)
+    assert not old.balancer.flights and not old.balancer.jobs and not old.balancer.seats["w0"].out
+    new.jobs = 3
+    assert sent_to(new.ask()) == "w0"
+    new.do(api.JobStarted(4, 0), after_us=5 * MS)
+    again = only(new.do(api.AttemptEnded(1, 0, api.Outcome.ERROR, 50 * MS, False)), api.Send)
+    assert [send.job for send in again] == [1]  # safe to repeat: placed anew, as its second attempt
+
+
+def test_a_held_job_is_placed_by_the_successor() -> None:
+    old = Node(1, tells_start=True)
+    old.ask()  # has not started: no room
+    assert not only(old.ask(), api.Send)
+    new = successor(Node(2, tells_start=True), tells_start=True)
+    told = memory.release(old.balancer, 2)
+    assert told and sent_to(memory.resume(new.balancer, new.now, told)) in ("w0", "w1")
+    assert memory.release(old.balancer, 2) is None
