Pace sends to cold workers by what their kind ran at once when warm

A trace of room shows 0 to 1 own jobs at each of five cold workers while 23 jobs were held: _cold_gap took a worker for one core, and _room allowed one job. The test fails before.

--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -126,6 +126,7 @@
         self.mean_us, self.class_us = 0.0, [0.0] * len(settings.classes)  # smoothed job time, of each class
         self.usual_us = [0.0] * len(settings.classes)  # the lowest class_us seen, rising slowly
         self.kinds: dict[int, _Mean] = {}  # job time by kind of machine
+        self.at_once: dict[int, float] = {}  # the most own jobs that ran at once, all begun at once, by kind
         self.quick: dict[int, float] = {}  # low quantile of time taken over work by kind of machine
         self.zones: dict[int, _Mean] = {}  # wait of own jobs by zone
         self.unit, self.hint_us = _Mean(), 0.0  # job time on a worker of weight 1; smoothed hint, if any
@@ -218,7 +219,9 @@
         """Time between own sends to a cold worker; 0 once it is warm."""
         # A node's share of the budget is one job each (job time x nodes) / (multiple x present share).
         gap = (self.mean_us or UNKNOWN_JOB_US) * self.s.fleet_size
-        return gap / (self.s.fall_multiple * self._warm(now, seat)) if now < seat.cold_us else 0.0
+        # One of its kind that ran more own jobs at once than that can do so many, warm.
+        at_once = max(self.s.fall_multiple, self.at_once.get(seat.entry.kind, 0.0))
+        return gap / (at_once * self._warm(now, seat)) if now < seat.cold_us else 0.0
 
     def _warm(self, now: int, seat: _Seat) -> float:
         """The share of its speed that a cold worker has for sure."""
@@ -264,9 +267,9 @@
 
     def _room(self, now: int, seat: _Seat) -> bool:
         """Whether own jobs show room here; reports and probes play no part."""
-        # An own job waits: full, frozen or gone. Lost jobs take no room. Ejected before, or cold: one job.
+        # An own job waits: full, frozen or gone. Lost jobs take no room. Ejected before: one job.
         out = sum(not 0 < self.silence_us <= now - (self.flights[x].heard_us or now) for x in seat.out)
-        return not seat.waiting and out < (1 if seat.faults or now < seat.cold_us else seat.limit)
+        return not seat.waiting and out < (1 if seat.faults else seat.limit)
 
     def _fits(self, now: int, seat: _Seat, job: _Job) -> bool:
         """Whether this job may go to a worker with room: in time as far as a hint tells, no effect twice."""
@@ -398,7 +401,8 @@
         if waited_us >= aim / 4:
             seat.limit = float(max(1, min(seat.limit, flight.others)))
         elif flight.others + 1 >= seat.limit - 0.5:
-            seat.limit += 1.0
+            kind, seat.limit = seat.entry.kind, seat.limit + 1.0
+            self.at_once[kind] = max(self.at_once.get(kind, 0.0), flight.others + 1.0)
 
     def _ended(self, now: int, event: api.AttemptEnded) -> None:
         flight = self.flights.pop((event.job, event.attempt), None)
--- a/robinhill/memory.py
+++ b/robinhill/memory.py
@@ -39,6 +39,7 @@
         "kinds": [[number, _scalars(mean)] for number, mean in balancer.kinds.items()],
         "zones": [[number, _scalars(mean)] for number, mean in balancer.zones.items()],
         "quick": list(balancer.quick.items()),
+        "at_once": list(balancer.at_once.items()),
         "seats": {
             address: {
                 "values": _scalars(seat),
@@ -59,6 +60,7 @@
         for number, values in pairs:
             _set(means.setdefault(number, _Mean()), values)
     balancer.quick.update(told["quick"])
+    balancer.at_once.update(told.get("at_once", []))
     for address, values in told["seats"].items():
         if (seat := balancer.seats.get(address)) is None:
             continue
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -298,6 +298,27 @@
     assert all(b - a > 50 * MS for a, b in itertools.pairwise(cold))
 
 
+def test_a_kind_known_to_run_many_jobs_at_once_is_cold_for_as_many() -> None:
+    """After a release most workers are cold: at one job of mean length at a time, most room stayed empty."""
+    starts = []
+    for at_once in (1, 12):
+        node = Node([api.Worker("w0")], tells_start=True)
+        for _ in range(at_once):
+            node.ask(MS)
+            node.do(api.JobStarted(node.jobs, 0), MS)
+        for job in range(1, at_once + 1):
+            node.end(job, took_us=1 * S, after_us=MS)
+        cold = api.Worker("w0", started_us=node.now)
+        node.listed(api.ListKind.CHANGES, cold)
+        node.now += 2 * S  # past its own first moment
+        starts.append(0)
+        for _ in range(40):
+            for send in only(node.ask(50 * MS), api.Send):
+                starts[-1] += 1
+                node.do(api.JobStarted(send.job, 0), MS)
+    assert 1 <= starts[0] <= 3 < starts[1] <= 12
+
+
 def test_a_restarted_worker_is_cold_again() -> None:
     node = Node(2)
     for _ in range(10):
