--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -219,8 +219,9 @@
         """Time between own sends to a cold worker; 0 once it is warm."""
         # A node's share of the budget is one job each (job time x nodes) / (multiple x present share).
         gap = (self.mean_us or UNKNOWN_JOB_US) * self.s.fleet_size
-        # One of its kind that ran more own jobs at once than that can do so many, warm.
-        at_once = max(self.s.fall_multiple, self.at_once.get(seat.entry.kind, 0.0))
+        # Where a release has left many cold: a kind that ran more own jobs at once can do so many, warm.
+        many = 4 * sum(now < x.cold_us for x in self.seats.values()) > len(self.seats)
+        at_once = max(self.s.fall_multiple, self.at_once.get(seat.entry.kind, 0.0) * many)
         return gap / (at_once * self._warm(now, seat)) if now < seat.cold_us else 0.0
 
     def _warm(self, now: int, seat: _Seat) -> float:
