Count a request whose client left as active until its attempt ends

At fault: Figures.left in _client_left. 'active' is now what the decider holds, an owed answer or an attempt that is out.

--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -232,7 +232,6 @@
         job = self.jobs[request.id] = self.next_number
         self.next_number += 1
         deadline_us = taken.arrived_us + request.time_left_us
-        self.figures.taken()
         self.held[job] = _Held(job, request, deadline_us, taken.reply)
         left_us = max(1, deadline_us - self.clock.now_us())
         self._decide(
@@ -292,7 +291,6 @@
             held.owed = False
             if held.leaving:
                 self._stay(held)
-            self.figures.left()
             self._decide(api.ClientGone(held.job))
             self._forget(held)
 
@@ -394,14 +392,12 @@
             "timers": [[at, due.tag] for due, at in self._timers.items() if memory.concerns(due.tag, job)],
         }
         held.leaving.set_result(told)
-        self.figures.left()
         del self.held[job]
         del self.jobs[held.request.id]
 
     def _adopt(self, message: Adopt) -> None:
         told, request, now = message.told, message.request, self.clock.now_us()
         job = told["job"]
-        self.figures.taken()
         self.seen[request.id] = None
         held = _Held(job, request, told["deadline_us"], message.reply)
         held.endpoints, held.endings = told["endpoints"], told["endings"]
@@ -525,6 +521,7 @@
 
     def stats(self) -> Answer:
         """The figures as they are now."""
+        self.figures.active = len(self.held)
         listed = {d.instance_id for d in self.listed()}
         self.figures.pool_size = len(listed)
         self.figures.pool_ejected = len(
--- a/robinhill/net/figures.py
+++ b/robinhill/net/figures.py
@@ -21,24 +21,12 @@
         self.classes = classes
         self.ended: Counter[tuple[str, str]] = Counter()
         self.tries = 0  # attempts written whole to endpoints
-        self.active = 0  # requests taken and not yet ended
+        self.active = 0  # requests taken and not yet ended; where the client has left, by the attempt's end
         self.pool_size = 0
         self.pool_ejected = 0
 
-    def taken(self) -> None:
-        self.active += 1
-
     def answered(self, job_class: int, answer: Answer) -> None:
-        """A request that was taken has got its final answer."""
-        self.active -= 1
-        self.turned_away(job_class, answer)
-
-    def left(self) -> None:
-        """The client of a request has gone before its answer."""
-        self.active -= 1
-
-    def turned_away(self, job_class: int, answer: Answer) -> None:
-        """A final answer to a request that was never taken."""
+        """A request has got its final answer, whoever worded it."""
         self.ended[self.classes[job_class], _outcome(answer)] += 1
 
     def text(self) -> str:
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -124,7 +124,7 @@
         if self.closed_to_new:
             settings = self.config.settings
             refusal = messages.fail_fast(min(RETURN_US, settings.max_retry_after_us) * settings.retry_after)
-            self.figures.turned_away(job.job_class, refusal)
+            self.figures.answered(job.job_class, refusal)
             return self._respond(refusal)
         reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         self.report(Taken(job, arrived_us, reply))
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -1,17 +1,19 @@
-"""What a repeated id does to the request that is held already: nothing."""
+"""What clients do to a request that is held, by repeating its id or by leaving."""
 
 import asyncio
 import json
 from pathlib import Path
 
 from robinhill import config
+from robinhill.api import Outcome
 from robinhill.net import messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
 from robinhill.net.decider import ClientLeft, Decider, Taken
+from robinhill.net.endpoint import Ended
 from robinhill.net.figures import Figures
 
-from .test_config import GIVEN
+from .test_config import ENTRY, GIVEN
 
 
 def test_a_client_that_repeats_an_id_and_leaves_does_not_end_the_first(tmp_path: Path) -> None:
@@ -32,3 +34,25 @@
         assert held.request is first and held.owed and not replies[0].done()
 
     asyncio.run(repeat())
+
+
+def test_a_request_whose_client_left_is_active_until_its_attempt_ends(tmp_path: Path) -> None:
+    """Operators ask what the scheduler has in hand; a crowd of clients that leave showed as half of it."""
+    path = tmp_path / "config.json"
+    known = {"generation": 1, "reset": True, "instances": [ENTRY | {"lifecycle": "active"}]}
+    path.write_text(json.dumps(GIVEN | {"known": known}))
+
+    async def leave() -> None:
+        clock, supervisor, given = Clock(), Supervisor(), config.load({"GW_CONFIG": str(path)})
+        decider = Decider(given, supervisor, clock, Figures(given.classes), lambda: None)
+        decider.start()
+        request = messages.JobRequest("j1", 1, 25_000_000, False, "/x", b"", ())
+        decider.receive(Taken(request, clock.now_us(), asyncio.get_running_loop().create_future()))
+        decider.receive(ClientLeft(request))
+        assert b"app.active:1|g" in decider.stats().body
+        decider.receive(Ended(1, 0, Outcome.COMPLETED, 50_000, "late"))
+        assert b"app.active:0|g" in decider.stats().body and not decider.jobs and not decider.balancer.flights
+        await supervisor.close()
+        await decider.close()
+
+    asyncio.run(leave())
