Start beside a process that hangs, and use all descriptors once it has gone

Seen in review: a connect to a stopped process with a full queue would wait for ever, and a process whose predecessor fell silent kept half its descriptors (begin watched only a live link). A log step of the player no longer waits for ever while other lines come.

--- a/robinhill/net/succession.py
+++ b/robinhill/net/succession.py
@@ -16,6 +16,7 @@
 Json = dict[str, Any]
 SOCKET = "robinhill.sock"
 LONGEST_PATH = 100  # of a Unix socket; the system allows 107
+CONNECT_S = 1.0
 PATIENCE_S = 2.5  # for a predecessor that does not answer: it may hang, which is why it is being replaced
 CALL_S = 0.7  # for the other process to follow an operator's call: the answer is due within 1 s
 
@@ -62,10 +63,11 @@
     def find(self) -> bool:
         """Whether there is a process to succeed."""
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        sock.settimeout(CONNECT_S)
         try:
             sock.connect(self._path(SOCKET))
-        except OSError as e:  # none there, or a killed one's socket
-            log.info("no_predecessor", extra={"why": e.strerror})
+        except OSError as e:  # none there, a killed one's socket, or one that hangs
+            log.info("no_predecessor", extra={"why": str(e)})
             sock.close()
             return False
         self.predecessor = Link(sock, self.supervisor, self._serve)
@@ -85,8 +87,9 @@
     async def begin(self) -> None:
         """We accept: the predecessor need not any longer, and the next process is to find us."""
         self.serving.set()
-        if self.predecessor and not self.predecessor.lost.is_set():
-            await self.ask("serving")
+        if self.predecessor:
+            if not self.predecessor.lost.is_set():
+                await self.ask("serving")
             self.supervisor.spawn(self._outlive(self.predecessor), "predecessor")
         self._publish()
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -14,7 +14,9 @@
     reload TEXT             the configuration file gets these changes, or text that is no JSON; SIGHUP
     term / exit CODE        SIGTERM, and the end of the program
     file NAME TEXT          what a file in $TMPDIR holds
+    spoil NAME              a folder there in its place
     inherit                 the listening socket is the player's, and passed on; then also:
+    signal NAME             a signal, such as KILL or STOP
     replace                 a second process; `call`, `term`, `exit` mean that one then, with `old` the first
     call STATUS METHOD PATH [BODY]  an operator's call, and lines of its answer; its connection ends
 
@@ -38,6 +40,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Iterator
 from fnmatch import fnmatchcase
 from itertools import chain
@@ -50,7 +53,7 @@
 FILES = sorted((ROOT / "tests" / "exchanges").glob("*.txt"))
 WORDS = (
     "workers|set|limits|send|raw|crowd|expect|close|closed|admit|none|log|reload|term|exit|job|take|event|answer|call|file"
-    "|inherit|replace"
+    "|inherit|replace|signal|spoil"
 )
 STEP = re.compile(rf"^({WORDS})\b ?(.*)$")
 PATIENCE_S = 10
@@ -178,6 +181,7 @@
             pass_fds=self.passed,
         )  # fmt: skip
         self.programs.append(program)
+        self.ports[ops] = listener()  # for a later one
         if sockets := self.given.get("sockets"):
             resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
         threading.Thread(target=self._read_log, args=(program,), daemon=True).start()
@@ -255,6 +259,9 @@
         name, _, text = words.partition(" ")
         assert (self.folder / name).read_text() == text
 
+    def spoil(self, name: str, block: str) -> None:
+        (self.folder / name).mkdir()
+
     def call(self, words: str, block: str) -> None:
         which, words = self.which(words)
         status, method, path, *body = words.split()
@@ -287,9 +294,10 @@
     def log(self, words: str, block: str) -> None:
         event, _, pair = words.partition(" ")
         seen: list[str] = []
+        until = time.monotonic() + PATIENCE_S  # lines that come every now and then must not prolong it
         while not seen or f"event={event}" not in seen[-1] or pair not in seen[-1]:
             try:
-                seen.append(self.logged.get(timeout=PATIENCE_S))
+                seen.append(self.logged.get(timeout=max(0.0, until - time.monotonic())))
             except queue.Empty:
                 pytest.fail(f"no {words} in the log: {seen}")
 
@@ -315,6 +323,10 @@
         self.programs[self.which(words)[0]].send_signal(signal.SIGTERM)
         self.log("draining", "")
 
+    def signal(self, words: str, block: str) -> None:
+        which, name = self.which(words)
+        self.programs[which].send_signal(signal.Signals[f"SIG{name}"])
+
     def exit(self, words: str, block: str) -> None:
         which, code = self.which(words)
         assert self.programs[which].wait(PATIENCE_S) == int(code)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -319,6 +319,33 @@
     assert 1 <= starts[0] <= 3 < starts[1] <= 12
 
 
+def until_sent_to(node: Node, worker: str) -> None:
+    """Ask for jobs, which start wherever else they go, until one goes to this worker."""
+    for _ in range(60):
+        sends = only(node.ask(100 * MS), api.Send)
+        if any(send.address == worker for send in sends):
+            return
+        for send in sends:
+            node.do(api.JobStarted(send.job, 0))
+            node.end(send.job)
+    raise AssertionError(f"nothing went to {worker}")
+
+
+def test_a_worker_taken_back_is_used_soon_whatever_befell_it_before() -> None:
+    """Its outage was the operators': it comes back cold, and neither shunned nor full of lost jobs."""
+    node = Node(2, tells_start=True, classes=(klass(repeat=api.Repeat.UNSAFE),))
+    until_sent_to(node, "w0")
+    lost = node.jobs  # it will never be heard of again
+    node.listed(api.ListKind.CACHED, api.Worker("w0", state=api.WorkerState.DRAINING), api.Worker("w1"))
+    node.now += 3 * S
+    node.listed(api.ListKind.CACHED, api.Worker("w0", started_us=node.now), api.Worker("w1"))
+    back = node.now
+    until_sent_to(node, "w0")
+    assert node.now - back <= 2.2 * S
+    node.end(lost, O.RESET, 25 * S)
+    assert not node.balancer.avoided(node.now)
+
+
 def test_a_restarted_worker_is_cold_again() -> None:
     node = Node(2)
     for _ in range(10):
