Hand over which workers returned a job, so that a repeat proves nothing after an upgrade

Seen in review: Endpoint.endings, which tells a repeated 'returned' from a new one, stayed in the old process. A renewal that was handed back, sent again and running could then have been taken for one that never ran, and sent a third time. Further exchanges: messages cut at every byte, a ban during a connect, faulty GW_SOCKET_FD, GW_OPS and TMPDIR.

--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -107,6 +107,7 @@
     out: int = 0  # attempts that are out
     endpoints: list[str] = field(default_factory=list)  # of each attempt so far
     endings: list[str] = field(default_factory=list)  # what became of each that is over, for the log
+    returned: list[str] = field(default_factory=list)  # endpoints that handed it back
     leaving: asyncio.Future[Json | None] | None = None  # while it is to go to another process
 
 
@@ -263,6 +264,8 @@
         held.out -= 1
         endpoint = held.endpoints[ended.attempt]
         held.endings.append(f"{endpoint} {ended.outcome.value} {ended.took_us // 1000}ms")
+        if ended.outcome is api.Outcome.FULL:
+            held.returned.append(endpoint)
         if ended.result is not None:
             self._answer(ended.job, messages.served(ended.result))
         over = not held.owed
@@ -385,6 +388,7 @@
             "deadline_us": held.deadline_us,
             "endpoints": held.endpoints,
             "endings": held.endings,
+            "returned": held.returned,
             "attempt": attempt
             and {"until_us": attempt.until_us, "final": attempt.final, "sent_us": attempt.sent_us},
             "destination": attempt and messages.write_destination(self.destinations[held.endpoints[-1]]),
@@ -400,7 +404,7 @@
         job = told["job"]
         self.seen[request.id] = None
         held = _Held(job, request, told["deadline_us"], message.reply)
-        held.endpoints, held.endings = told["endpoints"], told["endings"]
+        held.endpoints, held.endings, held.returned = told["endpoints"], told["endings"], told["returned"]
         self.held[job], self.jobs[request.id] = held, job
         if attempt := told["attempt"]:
             address = held.endpoints[-1]
@@ -410,6 +414,9 @@
                 self.destinations[address] = left
                 endpoint = self._open(left)
             endpoint.tell(ep.Resume(job=job, attempt=len(held.endpoints) - 1, request=request, **attempt))
+        for address in held.returned:
+            if endpoint := self.endpoints.get(address):
+                endpoint.tell(ep.Returned(request.id))
         for at, tag in told["timers"]:
             self._set_timer(max(0, at - now), tag)
         self._perform(memory.resume(self.balancer, now, told["module"]))
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -82,6 +82,13 @@
     sent_us: int
 
 
+@dataclass(slots=True, frozen=True)
+class Returned:
+    """This endpoint has handed a request back to another process: said again, it proves nothing."""
+
+    request_id: str
+
+
 # From the endpoint
 
 
@@ -175,7 +182,7 @@
 
 
 ToEndpoint = (
-    Dispatch | Withdraw | LetGo | Resume | Destination | JobEvent | Probe | CloseIdle
+    Dispatch | Withdraw | LetGo | Resume | Returned | Destination | JobEvent | Probe | CloseIdle
     | _Over | _Expired | _CallDone
 )  # fmt: skip
 
@@ -272,6 +279,8 @@
                 self._let_go(message)
             case Resume():
                 self._resume(message)
+            case Returned(request_id=request_id):
+                self._heard(request_id, JobState.RETURNED)
             case Destination():
                 moved = message.host_port != self.destination.host_port
                 self.destination = message
@@ -403,11 +412,14 @@
             # The same word about a second attempt here may be the first one's, told again: it proves nothing.
             if outcome.never_ran and (event.id, event.state) in self.endings:
                 outcome = Outcome.RESET
-            self.endings[event.id, event.state] = None
-            if len(self.endings) > 4096:
-                del self.endings[next(iter(self.endings))]
+            self._heard(event.id, event.state)
             self._end(attempt, outcome)
 
+    def _heard(self, request_id: str, state: JobState) -> None:
+        self.endings[request_id, state] = None
+        if len(self.endings) > 4096:
+            del self.endings[next(iter(self.endings))]
+
     def _expired(self, attempt: _Attempt) -> None:
         if attempt.final and not attempt.over:
             # The client's answer is due now; it is not sent again. The cancel is under way when the ending is
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -18,13 +18,13 @@
 ENTRY = {"instanceId": "s-1", "hostPort": "h:1", "zone": "a", "machineType": "b", "lifecycle": "gone"}
 
 
-def start(folder: Path, given: dict[str, Any], env: dict[str, str]) -> str:
+def start(folder: Path, given: dict[str, Any], env: dict[str, str], passed: tuple[int, ...] = ()) -> str:
     """The one line that the program ends with."""
     path = folder / "config.json"
     path.write_text(json.dumps(given))
     done = subprocess.run(
         [sys.executable, "-m", "robinhill"], env={"GW_CONFIG": str(path)} | env, cwd=ROOT, text=True,
-        capture_output=True, check=False,
+        capture_output=True, check=False, pass_fds=passed,
     )  # fmt: skip
     assert done.returncode == 2 and done.stderr.count("\n") == 1, done.stderr
     return done.stderr
@@ -37,6 +37,12 @@
         ({}, {"GW_DISCOVERY": "127.0.0.1:0"}, "GW_DISCOVERY"),
         ({}, {"GW_CONFIG": "/no/such/file"}, "GW_CONFIG"),
         ({"name": ""}, {}, "GW_NAME"),
+        ({"ops": "nowhere"}, {}, "ops"),
+        ({}, {"GW_OPS": "nowhere:0"}, "GW_OPS"),
+        ({}, {"TMPDIR": "/no/such/folder"}, "TMPDIR"),
+        ({}, {"GW_SOCKET_FD": "four"}, "GW_SOCKET_FD"),
+        ({}, {"GW_SOCKET_FD": "99"}, "GW_SOCKET_FD"),
+        ({}, {"GW_SOCKET_FD": "2"}, "GW_SOCKET_FD"),  # no socket
         ({"seed": "xyz"}, {}, "seed"),
         ({"limits": {"sockets": 3}}, {}, "limits.sockets"),
         ({"known": {"generation": 1, "reset": True, "instances": [ENTRY]}}, {}, "known"),
@@ -56,6 +62,12 @@
     assert start(tmp_path, given, env).startswith(f"robinhill: {key}: ")
 
 
+def test_an_inherited_socket_must_listen(tmp_path: Path) -> None:
+    with socket.socket() as idle:
+        line = start(tmp_path, GIVEN, {"GW_SOCKET_FD": str(idle.fileno())}, (idle.fileno(),))
+    assert line.startswith("robinhill: GW_SOCKET_FD: ") and "listen" in line
+
+
 def test_an_address_in_use_is_a_faulty_listen(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         line = start(tmp_path, GIVEN, {"GW_LISTEN": f"127.0.0.1:{taken.getsockname()[1]}"})
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -15,6 +15,7 @@
     term / exit CODE        SIGTERM, and the end of the program
     file NAME TEXT          what a file in $TMPDIR holds
     spoil NAME              a folder there in its place
+    drip                    from here on each byte that is sent is a write of its own
     inherit                 the listening socket is the player's, and passed on; then also:
     signal NAME             a signal, such as KILL or STOP
     replace                 a second process; `call`, `term`, `exit` mean that one then, with `old` the first
@@ -53,7 +54,7 @@
 FILES = sorted((ROOT / "tests" / "exchanges").glob("*.txt"))
 WORDS = (
     "workers|set|limits|send|raw|crowd|expect|close|closed|admit|none|log|reload|term|exit|job|take|event|answer|call|file"
-    "|inherit|replace|signal|spoil"
+    "|inherit|replace|signal|spoil|drip"
 )
 STEP = re.compile(rf"^({WORDS})\b ?(.*)$")
 PATIENCE_S = 10
@@ -103,6 +104,7 @@
 
     def __init__(self, sock: socket.socket) -> None:
         sock.settimeout(PATIENCE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.file = sock, sock.makefile("rb")
 
     def message(self) -> str:
@@ -124,6 +126,7 @@
         self.settings: dict[str, Any] = json.loads(json.dumps(SETTINGS))
         self.programs: list[subprocess.Popen[str]] = []
         self.passed: tuple[int, ...] = ()
+        self.dripping = False
         self.ops: list[tuple[str, int]] = []
         self.given: dict[str, int] = {}
         self.logged: queue.Queue[str] = queue.Queue()
@@ -144,6 +147,9 @@
     def limits(self, limits: str, block: str) -> None:
         self.given = json.loads(limits)
 
+    def drip(self, _: str, block: str) -> None:
+        self.dripping = True
+
     def inherit(self, _: str, block: str) -> None:
         self.ports["s"].listen(64)
         self.passed = (self.ports["s"].fileno(),)
@@ -221,7 +227,10 @@
         if "HTTP" not in block:  # a body by itself, or a line of a watch as a chunk
             line = head + "\n"
             data = f"{len(line):x}\r\n{line}\r\n" if name.startswith(("d.", "e.")) else head
-        self.peer(name).sock.sendall(data.encode().replace(b"{byte}", b"\xff"))
+        sock, whole = self.peer(name).sock, data.encode().replace(b"{byte}", b"\xff")
+        size = 1 if self.dripping else len(whole)
+        for start in range(0, len(whole), size):
+            sock.sendall(whole[start : start + size])
 
     def expect(self, name: str, block: str) -> None:
         got, wanted = self.peer(name).message(), self.fill(block)
