Outlive a process that speaks otherwise: a link that is not understood is closed

Seen in review: an ask of unknown form raised in Link._answer, and the supervisor ended the program: a faulty new version could have taken the serving process with it. A request whose client goes in the very moment of the handover no longer leaves its id among those on their way (hand_over).

--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -167,7 +167,7 @@
     async def hand_over(
         self,
         release: Callable[[JobRequest], Awaitable[Json | None]],
-        send: Callable[[Json, int], Awaitable[bool]],
+        send: Callable[[Json, int | None], Awaitable[bool]],
     ) -> None:
         """Let another process answer what is owed, as far as it can go now; idle connections end."""
         self._listener.retire_idle()
@@ -175,12 +175,11 @@
             if not connection.hold():
                 continue
             told = await release(owed.request)
-            fd = connection.hand_over() if told else None
             if told is None:
                 connection.stay()
-            elif fd is None:
-                owed.reply.cancel()  # its client has gone meanwhile
-            elif await send(told | {"request": messages.write_handed(owed.request)}, fd):
+            elif await send(
+                told | {"request": messages.write_handed(owed.request)}, connection.hand_over()
+            ):
                 connection.forget()
             else:
                 connection.stay()
--- a/robinhill/net/link.py
+++ b/robinhill/net/link.py
@@ -14,10 +14,12 @@
 import orjson
 
 from robinhill.net.actor import Supervisor
+from robinhill.net.messages import MalformedError
 
 log = logging.getLogger(__name__)
 
 Json = dict[str, Any]
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError, IndexError, MalformedError)
 RETRY_S = 0.005  # a socket whose buffer is full is tried again so much later
 MOST_FDS = 16
 
@@ -120,8 +122,16 @@
         self._buffer += data
         *lines, rest = self._buffer.split(b"\n")
         self._buffer = rest
-        for line in lines:
-            self._receive(orjson.loads(line))
+        try:
+            for line in lines:
+                self._receive(orjson.loads(line))
+        except MALFORMED as e:
+            self._refuse(e)
+
+    def _refuse(self, error: Exception) -> None:
+        """The other process speaks otherwise: we go on as if it had gone, and it must not take us with it."""
+        log.error("link_malformed", exc_info=error)
+        self.close()
 
     def _receive(self, message: Json) -> None:
         if "ask" in message:
@@ -131,6 +141,9 @@
             answer.set_result(message["body"])
 
     async def _answer(self, message: Json, fd: int | None) -> None:
-        body = await self.serve(self, message["what"], message["body"], fd)
+        try:
+            body = await self.serve(self, message["what"], message["body"], fd)
+        except MALFORMED as e:
+            return self._refuse(e)
         if not self.lost.is_set():
             self._put({"answer": message["ask"], "body": body})
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -197,10 +197,12 @@
         self.decider.tell(Release(request, reply))
         return await reply
 
-    async def _send_over(self, told: Json, fd: int) -> bool:
-        """Whether the successor has a request now."""
+    async def _send_over(self, told: Json, fd: int | None) -> bool:
+        """Whether the successor has a request now; without a descriptor its client has gone."""
         request_id = told["request"]["id"]
         try:
+            if fd is None:
+                return False
             assert self.succession and self.succession.successor
             await self.succession.successor.ask("adopt", told, fd)
         except LinkLostError:
