--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 if [ -x .venv/bin/python ] && cmp -s requirements.txt .venv/requirements.stamp \
-    && .venv/bin/python -c "import orjson, aiohttp"; then
+    && .venv/bin/python -c "import orjson, aiohttp, click, msgspec, structlog, pytricia"; then
     exit 0
 fi
 rm -rf .venv
