Let requests wait in fair queues at a door, off by default, with a command line and log library

Need: the operators' first wish, and the groundwork for it: sub-commands, a file of the operators' own, structured logs.

Change: robinhill/door/ decides (deficit round robin by work, space-saving accounts, shuffle-sharded queues for strangers, windows, promises), net/doorkeeper.py is its actor between inbound and decider. The command line is click's and imports what a command needs only then; the operators' file is decoded by msgspec into structs; log lines are formatted by structlog. The hand-made formatter is gone.

The door itself is not tested or measured yet, so it stays off.

--- /dev/null
+++ b/robinhill/commands/check.py
@@ -0,0 +1,79 @@
+"""`robinhill check-config` and `robinhill door explain`: what a file means, before a scheduler reads it."""
+
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+import orjson
+
+from robinhill import config
+from robinhill.door.callers import BadNameError, Directory
+
+SECRET = bytes(16)  # hashes are not shown
+
+
+def check(files: tuple[str, ...]) -> int:
+    """Print what each file would make of a scheduler; 2 where one is faulty, with its key on standard
+    error.
+    """
+    faulty = False
+    for path in files:
+        try:
+            click.echo(_summary(path))
+        except config.ConfigError as e:
+            print(f"{path}: {e}", file=sys.stderr)
+            faulty = True
+    return 2 if faulty else 0
+
+
+def _summary(path: str) -> str:
+    """The platform's files hold ``settings``; all others are taken for operators' files."""
+    try:
+        document = orjson.loads(Path(path).read_bytes())
+    except (OSError, orjson.JSONDecodeError) as e:
+        raise config.ConfigError("(whole file)", f"is not JSON: {e}") from e
+    if not isinstance(document, dict) or "settings" not in document:
+        operator = config.read_operator(path)
+        text = msgspec.json.format(msgspec.json.encode(operator), indent=2).decode()
+        return f"{path}: operators' file\n{text}"
+    read = config.load({"GW_CONFIG": path})
+    classes = ", ".join(
+        f"{name} (aim {c.aim_us // 1000} ms, {c.repeat.value})"
+        for name, c in zip(read.classes, read.settings.classes, strict=True)
+    )
+    lines = [
+        f"{path}: platform's file",
+        f"  scheduler {read.name}, one of {read.settings.fleet_size}",
+        f"  listens at {read.listen}, operators at {read.ops or 'no address'}",
+        f"  discovery at {read.discovery}, {len(read.known.destinations)} workers known",
+        f"  descriptors {read.sockets}, of them {read.client_sockets()} for clients",
+        f"  classes {classes}",
+    ]
+    return "\n".join(lines)
+
+
+def explain_caller(path: str, address: str, tenant: str | None) -> int:
+    """Print the tenant, weight and limits of a caller; 2 for a faulty file or name."""
+    try:
+        options = config.read_operator(path).door
+        caller = Directory(options, SECRET).find(tenant, address)
+    except (config.ConfigError, BadNameError) as e:
+        print(f"robinhill: {e}", file=sys.stderr)
+        return 2
+    named = options.tenants.get(caller.name)
+    by = f"header {options.tenant_header}" if tenant is not None else f"address {address}"
+    network = options.networks[caller.network] if caller.network >= 0 else None
+    click.echo(f"door      {'on' if options.enabled else 'off'}")
+    click.echo(f"tenant    {caller.name} (by {by})")
+    click.echo(f"weight    {named.weight if named else 1.0:g}{'' if named else ' (not named in the file)'}")
+    click.echo(f"limits    {_limits(options.limits_of(caller.name))}")
+    click.echo(f"network   {network.network if network else 'none listed'}")
+    if network:
+        click.echo(f"          {_limits(network.limits)}")
+    return 0
+
+
+def _limits(limits: msgspec.Struct) -> str:
+    told = {k: v for k, v in msgspec.structs.asdict(limits).items() if v is not None}
+    return ", ".join(f"{key} {value:g}" for key, value in told.items()) or "none"
--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -2,8 +2,8 @@
 
 ``GW_CONFIG`` names a JSON file; ``GW_NAME``, ``GW_LISTEN``, ``GW_DISCOVERY`` and ``GW_OPS`` go before its
 ``name``, ``listen``, ``discovery`` and ``ops``, but on a reload the discovery of the file wins: the
-environment cannot change under a running program. Whatever is wrong ends in a ConfigError that names
-the faulty key.
+environment cannot change under a running program. ``GW_OPERATOR`` names the operators' own file, which the
+platform knows nothing of. Whatever is wrong ends in a ConfigError that names the faulty key.
 """
 
 import math
@@ -14,10 +14,13 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import orjson
 
 from robinhill import api
+from robinhill.door.options import DoorOptions
 from robinhill.net import messages
+from robinhill.net.logs import LogOptions
 from robinhill.settings import read_settings
 
 DEFAULT_SOCKETS = 1024
@@ -58,6 +61,13 @@
         return f"{self.host}:{self.port}"
 
 
+class OperatorFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The operators' own file: what the platform does not set. All of it has defaults."""
+
+    log: LogOptions = LogOptions()
+    door: DoorOptions = DoorOptions()
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     """All that one scheduler is told; names of classes, zones and machine types in the settings' order."""
@@ -75,6 +85,7 @@
     classes: tuple[str, ...]
     zones: tuple[str, ...]
     machine_types: tuple[str, ...]
+    operator: OperatorFile | None = None  # None: no such file is named
 
     def client_sockets(self, processes: int = 1) -> int:
         """Connections that clients and call-backs may have: half of the descriptors that are not our own.
@@ -116,9 +127,23 @@
         classes=tuple(c["name"] for c in options["classes"]),
         zones=_names(options.get("areas", []), "settings.areas"),
         machine_types=_names(options.get("shapes", []), "settings.shapes"),
+        operator=read_operator(env["GW_OPERATOR"]) if env.get("GW_OPERATOR") else None,
     )
 
 
+def read_operator(path: str) -> OperatorFile:
+    """The operators' file, checked; a ConfigError names the file and the path of the faulty key."""
+    try:
+        return msgspec.json.decode(Path(path).read_bytes(), type=OperatorFile)
+    except OSError as e:
+        raise ConfigError("GW_OPERATOR", f"can't read {path}: {e.strerror}") from e
+    except msgspec.ValidationError as e:
+        what, _, key = str(e).partition(" - at `$.")
+        raise ConfigError(f"{path}: {key.rstrip('`') or '(whole file)'}", what) from e
+    except (msgspec.DecodeError, UnicodeDecodeError) as e:
+        raise ConfigError("GW_OPERATOR", f"{path} is not JSON: {e}") from e
+
+
 def _document(env: Mapping[str, str]) -> dict[str, Any]:
     path = env.get("GW_CONFIG")
     if not path:
--- /dev/null
+++ b/robinhill/door/door.py
@@ -0,0 +1,557 @@
+"""The door: who waits, who goes in and who is told to come back. Events with a time in, actions out; no I/O.
+
+The caller hands in events under the numbers that it gave the requests, carries the actions out at once and in
+order, and calls ``tick`` at ``next_us``. Times are whole microseconds of a clock that only advances; one
+that steps back is taken to stand still.
+"""
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from typing import Any
+
+from robinhill.api import JobClass, Settings
+from robinhill.door.accounts import Account, Accounts
+from robinhill.door.buckets import Cells, Meter, meter
+from robinhill.door.callers import Caller, Directory
+from robinhill.door.estimate import Costs, Pace
+from robinhill.door.options import DoorOptions
+from robinhill.door.promises import Promise, Promises
+from robinhill.door.queues import Queue, Rounds, Ticket
+from robinhill.door.window import Window
+
+HOLD = 1.5  # as the module: how far a job may wait into what its own length adds to its aim
+TARGET = 0.8  # of its patience: who comes back when told finds so much work before it at the most
+PATIENT = 1.25  # of its patience: who keeps to a promise is let wait though the estimate says so much
+SHORTEST_US = 50_000  # told to come back sooner, a caller is back before anything has changed
+SPREAD = 0.1  # told times differ by so much, or all that were refused in one moment return in another
+SWEEP_US = 250_000  # how often jobs that run longer than thought are charged
+LONGEST_EVERY_US = 50_000  # how often the longest queue is looked for when callers are refused
+PRIOR_US = 1_000_000  # waiting after which a queue's own drain rate counts as much as its share
+TOP = 10
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """A request has come. ``owed``: it was taken before (by another process) and is not refused for
+    limits.
+    """
+
+    number: int
+    job_class: int
+    caller: Caller
+    arrived_us: int
+    time_left_us: int  # at its arrival
+    owed: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Admit:
+    """Let it in: the module decides from here on."""
+
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse:
+    """Final answer: it never ran. ``own``: for what its tenant does (429), else for the fleet's load
+    (503).
+    """
+
+    number: int
+    reason: str
+    own: bool
+    retry_us: int
+
+
+Action = Admit | Refuse
+
+
+@dataclass(slots=True)
+class _Present:
+    """What a tenant has here; forgotten with its last request."""
+
+    open: int = 0
+    queued: int = 0
+
+
+class Door:
+    """All of the door's state and decisions; deterministic for a seed and a secret."""
+
+    def __init__(self, settings: Settings, options: DoorOptions, seed: int, secret: bytes) -> None:
+        self.s, self.random = settings, random.Random(seed)
+        self.secret = secret
+        self.now = 0
+        self.costs = Costs.of(len(settings.classes))
+        self.pace = Pace()
+        self.windows = [Window() for _ in settings.classes]
+        self.promises = Promises()
+        self.tickets: dict[int, Ticket] = {}
+        self.refused: Counter[str] = Counter()
+        self.let_in = 0
+        self._full_us = [0] * len(settings.classes)  # the longest time left seen: that of a first try
+        self._waits: list[tuple[int, int]] = []  # when who has waited long enough
+        self._present: dict[int, _Present] = {}
+        self._swept_us = 0
+        self._longest: tuple[int, Queue | None] = (0, None)
+        self.accounts = Accounts(options.accounts)
+        self.rounds = Rounds(self._order(), options.newcomers)
+        self.out: list[Action] = []
+        self.network_meters: dict[str, Meter] = {}
+        self._network_open: Counter[str] = Counter()
+        self.options = DoorOptions()
+        self.cells = Cells(self.options.limits)
+        self.strangers: list[Queue] = []
+        self.configure(0, options)
+
+    def _order(self) -> list[int]:
+        """Classes, the most worth for a worker's time first; of equal ones the more urgent."""
+        classes = self.s.classes
+        return sorted(range(len(classes)), key=lambda c: (-classes[c].worth, classes[c].aim_us, c))
+
+    # Settings
+
+    def configure(self, now: int, options: DoorOptions) -> list[Action]:
+        """Go by these settings from now on. Nothing that waits is dropped, and no limit starts afresh."""
+        self._begin(now)
+        old, self.options = self.options, options
+        self.directory = Directory(options, self.secret)
+        self.accounts.capacity = options.accounts
+        self.rounds.newcomers = options.newcomers
+        if len(self.strangers) != options.queues:
+            # Who waits in a queue of before stays there until it is let in.
+            self.strangers = [Queue(f"strangers {i}", strangers=True) for i in range(options.queues)]
+        if options.limits != old.limits:
+            self.cells = Cells(options.limits)
+        self.repin()
+        meters = {}
+        for entry in options.networks:
+            if made := meter(entry.limits):
+                meters[entry.network] = made.adopt(self.network_meters.get(entry.network))
+        self.network_meters = meters
+        if not options.enabled:
+            while self.rounds.length and (ticket := self.rounds.take(self.now, lambda c: True)):
+                self._admit(ticket)
+        return self._end()
+
+    def repin(self) -> None:
+        """Give those that staff name accounts for good, and all accounts the weight and limits of the
+        file.
+        """
+        named = {self.directory.hash(name): name for name in self.options.tenants}
+        for account in list(self.accounts.by_tenant.values()):
+            if account.pinned and account.tenant not in named:
+                self.accounts.unpin(account)
+            account.meter = self._meter(account.name, account.meter)
+            self.rounds.reweigh(account.queue, self._weight(account.name))
+        for tenant, name in named.items():
+            self.accounts.pin(self.accounts.get(tenant) or self.account(tenant, name))
+
+    def _weight(self, name: str) -> float:
+        named = self.options.tenants.get(name)
+        return named.weight if named else 1.0
+
+    def _meter(self, name: str, old: Meter | None) -> Meter | None:
+        made = meter(self.options.limits_of(name))
+        return made.adopt(old) if made else None
+
+    def account(self, tenant: int, name: str) -> Account:
+        """A new account with a queue of its own; not among the accounts yet."""
+        queue = Queue(name, self._weight(name))
+        queue.round = self.rounds.number - 1
+        return Account(tenant, name, queue, self._meter(name, None))
+
+    # Events
+
+    def arrive(self, now: int, ask: Ask) -> list[Action]:
+        """A request: it goes in, waits, or is refused."""
+        self._begin(now)
+        now, caller = self.now, ask.caller
+        account = self.accounts.get(caller.tenant)
+        ticket = self._ticket(ask, account)
+        promise = self.promises.of(caller.mark)
+        if not ask.owed and (refusal := self._limited(ticket, account)):
+            self._refuse(ask.number, *refusal)
+            return self._end()
+        unhurried = not self.rounds.length and self.windows[ask.job_class].open
+        # What the module would not hold is for it to refuse; it does so at once.
+        if unhurried or not self.options.enabled or ticket.until_us <= now:
+            if promise:
+                self.promises.keep(promise)
+            self._enter(ticket, account)
+            ticket.queue.served_us += ticket.cost_us
+            self._admit(ticket)
+            return self._end()
+        if not ask.owed and (refusal := self._hopeless(ticket, promise)):
+            self._refuse(ask.number, *refusal)
+            return self._end()
+        if self.rounds.length >= self.options.queued and not self._make_room(ticket):
+            if not ask.owed:
+                self._refuse(ask.number, "full", self._excess(ticket.queue), self._told(ticket))
+                return self._end()
+        self._enter(ticket, account)
+        self._present[ticket.tenant].queued += 1
+        self.rounds.add(now, ticket)
+        heappush(self._waits, (ticket.until_us, ticket.number))
+        return self._end()
+
+    def resume(self, now: int, ask: Ask) -> None:
+        """A request that another process let in runs on under this one: its tenant has it open."""
+        self._begin(now)
+        account = self.accounts.get(ask.caller.tenant)
+        ticket = self._ticket(ask, account)
+        ticket.let_in_us = ticket.placed_us = self.now
+        self._enter(ticket, account)
+        self._run(ticket)
+
+    def placed(self, now: int, number: int) -> list[Action]:
+        """The first attempt of a request that was let in is out."""
+        self._begin(now)
+        ticket = self.tickets.get(number)
+        if ticket and ticket.let_in_us and not ticket.placed_us:
+            ticket.placed_us = self.now
+            window = self.windows[ticket.job_class]
+            window.unplaced -= 1
+            window.placed(self.now, self.now - ticket.let_in_us, self.rounds.length > 0)
+            if not self.s.tells_start:
+                self._run(ticket)
+        return self._end()
+
+    def began(self, now: int, number: int) -> list[Action]:
+        """A worker has begun to run it."""
+        self._begin(now)
+        ticket = self.tickets.get(number)
+        if ticket and ticket.placed_us and not ticket.began_us:
+            self._run(ticket)
+            window, klass = self.windows[ticket.job_class], self.s.classes[ticket.job_class]
+            window.began(self.now, self.now - ticket.placed_us, klass.aim_us // 4)
+        return self._end()
+
+    def ended(self, now: int, number: int, served: bool) -> list[Action]:
+        """It has its final answer, or another process has it."""
+        self._begin(now)
+        if ticket := self.tickets.get(number):
+            self._close(ticket, served)
+        return self._end()
+
+    def left(self, now: int, number: int) -> list[Action]:
+        """Its client has gone: a place at the door is free at once."""
+        return self.ended(now, number, False)
+
+    def tick(self, now: int) -> list[Action]:
+        """Time has passed."""
+        self._begin(now)
+        now = self.now
+        while self._waits and self._waits[0][0] <= now:
+            _, number = heappop(self._waits)
+            ticket = self.tickets.get(number)
+            if ticket and not ticket.let_in_us:
+                wait = self._told(ticket)
+                self._close(ticket, False)
+                self._refuse(number, "late", False, wait)
+        if now - self._swept_us >= SWEEP_US:
+            self._swept_us = now
+            for ticket in self.tickets.values():
+                if ticket.began_us and now - ticket.began_us > ticket.cost_us:
+                    self._charge(ticket, now - ticket.began_us)
+        return self._end()
+
+    @property
+    def next_us(self) -> int | None:
+        """When ``tick`` is to be called; None while nothing waits."""
+        while self._waits:
+            until, number = self._waits[0]
+            ticket = self.tickets.get(number)
+            if ticket and not ticket.let_in_us:
+                return min(until, self._swept_us + SWEEP_US)
+            heappop(self._waits)
+        return None
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait at the door."""
+        return self.rounds.length
+
+    def waits(self, number: int) -> bool:
+        """Whether this request waits at the door."""
+        ticket = self.tickets.get(number)
+        return ticket is not None and not ticket.let_in_us
+
+    # The way in
+
+    def _begin(self, now: int) -> None:
+        self.now = max(self.now, now)
+        self.pace.advance(self.now, self.rounds.length > 0)
+        self.promises.lapse(self.now)
+        self.out = []
+
+    def _end(self) -> list[Action]:
+        """Let in whose turn it is, as far as the windows allow."""
+        if self.rounds.length:
+            self.rounds.quantum_us = max(self.costs.by_class)
+            while ticket := self.rounds.take(self.now, lambda c: self.windows[c].open):
+                self.promises.drained(self.now, ticket.queue)
+                self._admit(ticket)
+        return self.out
+
+    def _ticket(self, ask: Ask, account: Account | None) -> Ticket:
+        caller, klass = ask.caller, self.s.classes[ask.job_class]
+        known = self.costs.known[ask.job_class]
+        mean = self.costs.by_class[ask.job_class]
+        cost = mean * (account.ratio if account else 1.0)
+        left = ask.time_left_us
+        # A client's further try has spent part of its time: how much shows against a first try's.
+        self._full_us[ask.job_class] = full = max(self._full_us[ask.job_class], left)
+        patience = self._patience(klass, mean if known else 0.0) - (full - left)
+        if klass.late_worth:
+            patience = max(patience, int(left - cost))
+        until = ask.arrived_us + min(left - 1, patience)
+        queue = account.queue if account and account.established else self._shortest(caller.tenant)
+        return Ticket(
+            ask.number, ask.job_class, caller.tenant, caller.name, caller.network, caller.mark, queue, cost,
+            ask.arrived_us, until,
+        )  # fmt: skip
+
+    def _patience(self, klass: JobClass, usual_us: float) -> int:
+        return klass.aim_us + int(HOLD * max(0.0, klass.stretch - 1) * usual_us)
+
+    def _shortest(self, tenant: int) -> Queue:
+        """The shortest queue of a stranger's hand: the hand comes from its hash, a card at a time."""
+        cards, left, hand = tenant, list(range(len(self.strangers))) if self.options.hand > 1 else [], []
+        if not left:
+            return self.strangers[tenant % len(self.strangers)]
+        for _ in range(self.options.hand):
+            cards, card = divmod(cards, len(left))
+            hand.append(self.strangers[left.pop(card)])
+        return min(hand, key=lambda q: q.work_us + q.promised_us)
+
+    def _enter(self, ticket: Ticket, account: Account | None) -> None:
+        """It is taken: count it and charge its tenant's limits."""
+        self.tickets[ticket.number] = ticket
+        present = self._present.setdefault(ticket.tenant, _Present())
+        present.open += 1
+        ticket.queue.users += 1
+        if account is None:
+            self.cells.take(ticket.tenant, ticket.cost_us)
+        elif account.meter:
+            account.meter.take(ticket.cost_us)
+        if ticket.network >= 0:
+            network = self._network(ticket)
+            self._network_open[network] += 1
+            if network in self.network_meters:
+                self.network_meters[network].take(ticket.cost_us)
+
+    def _network(self, ticket: Ticket) -> str:
+        """A reload may have changed the table since the ticket's caller was found."""
+        listed = self.options.networks
+        return listed[ticket.network].network if ticket.network < len(listed) else ""
+
+    def _admit(self, ticket: Ticket) -> None:
+        if ticket.number in self.tickets and not ticket.let_in_us:
+            present = self._present[ticket.tenant]
+            present.queued = max(0, present.queued - 1)
+        ticket.let_in_us = self.now
+        self.windows[ticket.job_class].unplaced += 1
+        self.let_in += 1
+        self.out.append(Admit(ticket.number))
+
+    def _run(self, ticket: Ticket) -> None:
+        ticket.began_us = self.now
+        self.pace.running += 1
+
+    # The way out
+
+    def _close(self, ticket: Ticket, served: bool) -> None:
+        del self.tickets[ticket.number]
+        queue = ticket.queue
+        queue.users -= 1
+        present = self._present[ticket.tenant]
+        present.open -= 1
+        if not ticket.let_in_us:
+            present.queued -= 1
+            self.rounds.remove(self.now, ticket)
+            self.promises.drained(self.now, queue)
+        elif not ticket.placed_us:
+            self.windows[ticket.job_class].unplaced -= 1
+        if not present.open:
+            del self._present[ticket.tenant]
+        if ticket.network >= 0:
+            network = self._network(ticket)
+            self._network_open[network] -= 1
+            if self._network_open[network] <= 0:
+                del self._network_open[network]
+        ran = self.now - ticket.began_us if ticket.began_us else 0
+        if ticket.began_us:
+            self.pace.running -= 1
+        self._charge(ticket, ran)
+        if served and ran:
+            self._learn(ticket, ran)
+
+    def _charge(self, ticket: Ticket, ran_us: int) -> None:
+        """Correct what was charged for it to what it has taken."""
+        more, ticket.cost_us = ran_us - ticket.cost_us, float(ran_us)
+        if ticket.let_in_us:
+            ticket.queue.deficit_us -= more
+        account = self.accounts.get(ticket.tenant)
+        if account is None:
+            self.cells.charge(ticket.tenant, more)
+        elif account.meter:
+            account.meter.charge(more)
+        if ticket.network >= 0 and (network := self.network_meters.get(self._network(ticket))):
+            network.charge(more)
+
+    def _learn(self, ticket: Ticket, ran_us: int) -> None:
+        """A job was served: what it took tells of its class and of its tenant, which has an account from
+        now.
+        """
+        account = self.accounts.get(ticket.tenant)
+        mean = self.costs.by_class[ticket.job_class]
+        if account is None:
+            account = self.account(ticket.tenant, ticket.name)
+            put_out = self.accounts.admit(account)
+            if put_out is account:
+                account = None
+        elif self.costs.known[ticket.job_class]:
+            account.learn(ran_us / mean)
+        self.costs.learn(ticket.job_class, ran_us, account.ratio if account else 1.0)
+        if account:
+            self.accounts.serve(self.now, account, ran_us)
+
+    # Refusals
+
+    def _refuse(self, number: int, reason: str, own: bool, wait_us: int) -> None:
+        self.refused[reason] += 1
+        self.out.append(Refuse(number, reason, own, self._cap(wait_us)))
+
+    def _cap(self, wait_us: int) -> int:
+        """As much of it as the settings let us say."""
+        if not self.s.retry_after:
+            return 0
+        return max(0, min(wait_us, self.s.max_retry_after_us, self.options.retry_after_cap_ms * 1000))
+
+    def _limited(self, ticket: Ticket, account: Account | None) -> tuple[str, bool, int] | None:
+        """Whether its tenant or network has used up what it may have."""
+        limits = self.options.limits_of(ticket.name)
+        present = self._present.get(ticket.tenant)
+        if present and limits.open and present.open >= limits.open:
+            return "open", True, int(ticket.cost_us)
+        if present and limits.queued and present.queued >= limits.queued:
+            return "queued", True, int(ticket.cost_us)
+        if ticket.network >= 0:
+            entry = self.options.networks[ticket.network]
+            count = self._network_open[entry.network]
+            if entry.limits.open and count >= entry.limits.open:
+                return "open", True, int(ticket.cost_us)
+        waits = []
+        if account is None:
+            waits.append(self.cells.wait_us(self.now, ticket.tenant, ticket.cost_us))
+        elif account.meter:
+            waits.append(account.meter.wait_us(self.now, ticket.cost_us))
+        if ticket.network >= 0 and (network := self.network_meters.get(self._network(ticket))):
+            waits.append(network.wait_us(self.now, ticket.cost_us))
+        if not waits or not (worst := max(waits))[0]:
+            return None
+        if account:
+            account.refused += 1
+        return worst[1], True, worst[0]
+
+    def _hopeless(self, ticket: Ticket, promise: Promise | None) -> tuple[str, bool, int] | None:
+        """Whether it can't make its time at its queue's present rate; it is promised a time to come back
+        then.
+        """
+        queue, patience = ticket.queue, ticket.until_us - self.now
+        rate = self._rate(queue)
+        if promise:
+            if not self.promises.is_due(self.now, promise):
+                return "early", True, promise.due_us - self.now
+            self.promises.keep(promise)
+            if queue.work_us / rate <= patience * PATIENT:
+                return None
+        ahead = queue.work_us + queue.promised_us
+        if ahead / rate <= patience:
+            return None
+        own = self._excess(queue)
+        if own and (account := self.accounts.get(ticket.tenant)):
+            account.refused += 1
+        wait = self._told(ticket)
+        told = self._cap(wait)
+        self.promises.make(self.now, ticket.mark, ticket.tenant, queue, ticket.cost_us, wait)
+        if told >= wait:
+            self.promises.measure(self.now, queue, wait, ahead - rate * patience * TARGET)
+        return "time", own, wait
+
+    def _told(self, ticket: Ticket) -> int:
+        """When its queue will have come down far enough for a request like it."""
+        queue = ticket.queue
+        patience = self._patience(self.s.classes[ticket.job_class], self.costs.by_class[ticket.job_class])
+        wait = (queue.work_us + queue.promised_us) / self._rate(queue) - patience * TARGET
+        return max(SHORTEST_US, int(wait * (1 + SPREAD * (2 * self.random.random() - 1))))
+
+    def _rate(self, queue: Queue) -> float:
+        """Work that goes in from this queue in a unit of time."""
+        queue.advance(self.now)
+        return max(1e-3, queue.drain_rate(self.pace.rate * self.rounds.share(queue), PRIOR_US))
+
+    def _excess(self, queue: Queue) -> bool:
+        """Whether it is a tenant's own doing that it must wait: no queue is as long, and others are here."""
+        if queue.strangers or len(self._present) < 2:
+            return False
+        return self._most(refresh=False) is queue
+
+    def _most(self, refresh: bool) -> Queue | None:
+        at, queue = self._longest
+        if refresh or queue is None or not queue.length or self.now - at > LONGEST_EVERY_US:
+            queue = self.rounds.longest() if self.rounds.length else None
+            self._longest = self.now, queue
+        return queue
+
+    def _make_room(self, ticket: Ticket) -> bool:
+        """Put out the newest of the longest queue, if that is longer than this one's would be."""
+        longest = self._most(refresh=False)
+        weight = self.rounds.weight
+        if longest is None or longest is ticket.queue:
+            return False
+        mine = (ticket.queue.work_us + ticket.cost_us) / weight(ticket.queue)
+        if longest.work_us / weight(longest) <= mine:
+            return False
+        victim = self.rounds.newest(longest)
+        wait = self._told(victim)
+        self._close(victim, False)
+        self._refuse(victim.number, "pushed_out", True, wait)
+        return True
+
+    # For staff
+
+    def figures(self) -> dict[str, Any]:
+        """What the door does now, as plain values."""
+        return {
+            "queued": self.rounds.length,
+            "let_in": self.let_in,
+            "refused": dict(sorted(self.refused.items())),
+            "window": [int(w.size) for w in self.windows],
+            "unplaced": [w.unplaced for w in self.windows],
+            "running": self.pace.running,
+            "rate": round(self.pace.rate, 2),
+            "class_ms": [round(c / 1000, 1) for c in self.costs.by_class],
+            "accounts": len(self.accounts.by_tenant),
+            "tenants_present": len(self._present),
+            "promises": {
+                "open": self.promises.length,
+                "right": self.promises.right,
+                "short": self.promises.short,
+                "long": self.promises.long,
+            },
+            "heaviest": [
+                {
+                    "tenant": a.name,
+                    "served_s": round(a.served_us / 1e6, 3),
+                    "jobs": a.jobs,
+                    "ratio": round(a.ratio, 2),
+                    "weight": a.queue.weight,
+                    "queued": a.queue.length,
+                    "refused": a.refused,
+                }
+                for a in self.accounts.heaviest(TOP)
+            ],
+        }
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -8,6 +8,7 @@
 
 from robinhill import api, memory
 from robinhill.config import Config
+from robinhill.door.callers import Caller
 from robinhill.logic import Balancer
 from robinhill.net import endpoint as ep
 from robinhill.net import messages
@@ -37,6 +38,21 @@
     request: JobRequest
     arrived_us: int
     reply: asyncio.Future[Answer]
+    caller: Caller | None = None  # None: it does not pass the door
+
+
+@dataclass(slots=True, frozen=True)
+class Placed:
+    """The first attempt of a request is on its way; for the door."""
+
+    request: JobRequest
+
+
+@dataclass(slots=True, frozen=True)
+class Began:
+    """An endpoint has begun to run a request; for the door."""
+
+    request: JobRequest
 
 
 @dataclass(slots=True, frozen=True)
@@ -137,6 +153,7 @@
         # Requests on their way to another process: what is said of one waits until it is there, or stays.
         self.moving: dict[str, asyncio.Event] = {}
         self.elsewhere: Callable[[JobEvent], None] = lambda event: None  # brings such an event there
+        self.door: Callable[[Placed | Began], None] | None = None  # hears what becomes of requests
         self.listed_once = asyncio.Event()  # discovery has answered, or failed to
         self.destinations: dict[str, Destination] = {}
         self.endpoints: dict[str, ep.Endpoint] = {}
@@ -159,6 +176,8 @@
             case JobEvent():
                 self._job_event(message)
             case ep.Started(job=job, attempt=attempt, share=None):
+                if self.door and (held := self.held.get(job)):
+                    self.door(Began(held.request))
                 self._decide(api.JobStarted(job, attempt))
             case ep.Started(job=job, attempt=attempt, share=share):
                 self._decide(api.JobProgress(job, attempt, share or 0.0))
@@ -248,6 +267,8 @@
         held.endpoints.append(action.address)
         held.out += 1
         final = until_us >= held.deadline_us
+        if self.door and number == 0:
+            self.door(Placed(held.request))
         self.endpoints[action.address].tell(ep.Dispatch(action.job, number, held.request, until_us, final))
 
     def _cancel(self, job: int, attempt: int) -> None:
@@ -528,7 +549,7 @@
 
     def stats(self) -> Answer:
         """The figures as they are now."""
-        self.figures.active = len(self.held)
+        self.figures.active = len(self.held) + (self.figures.at_door() if self.figures.at_door else 0)
         listed = {d.instance_id for d in self.listed()}
         self.figures.pool_size = len(listed)
         self.figures.pool_ejected = len(
--- /dev/null
+++ b/robinhill/net/doorkeeper.py
@@ -0,0 +1,265 @@
+"""The doorkeeper: the actor between inbound and decider that owns the door and carries out its actions."""
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from multidict import MultiMapping
+
+from robinhill.config import Config
+from robinhill.door import Admit, Ask, Door, DoorOptions, Refuse, memory
+from robinhill.door.callers import SECRET_BYTES, BadNameError, Caller
+from robinhill.door.door import Action
+from robinhill.net import messages
+from robinhill.net.actor import Actor, Supervisor
+from robinhill.net.clock import Clock
+from robinhill.net.decider import Began, ClientLeft, Placed, Taken
+from robinhill.net.figures import Figures
+from robinhill.net.messages import Answer, JobRequest
+
+log = logging.getLogger(__name__)
+
+Json = dict[str, Any]
+ROUTE_KEY = "X-Route-Key"
+
+
+@dataclass(slots=True, frozen=True)
+class Answered:
+    """A request that was let in has its final answer."""
+
+    number: int
+    served: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Reconfigure:
+    """The operators' file has changed."""
+
+    options: DoorOptions
+
+
+@dataclass(slots=True, frozen=True)
+class TakeOut:
+    """The successor is to go on with a request; ``reply`` gets what it needs to know of it here."""
+
+    request: JobRequest
+    reply: asyncio.Future[Json]
+
+
+@dataclass(slots=True, frozen=True)
+class PutIn:
+    """Go on with a request that another process has taken out; ``taken`` if it has to wait here."""
+
+    request: JobRequest
+    told: Json
+    reply: asyncio.Future[Answer]
+
+
+@dataclass(slots=True, frozen=True)
+class Tick:
+    """Time has passed."""
+
+
+ToDoor = Taken | ClientLeft | Placed | Began | Answered | Reconfigure | TakeOut | PutIn | Tick
+
+
+@dataclass(slots=True, eq=False)
+class _Entry:
+    taken: Taken
+    caller: Caller
+
+
+class Doorkeeper(Actor[ToDoor]):
+    """Requests come from inbound; those let in go on to the decider, which tells what becomes of them."""
+
+    def __init__(
+        self,
+        config: Config,
+        supervisor: Supervisor,
+        clock: Clock,
+        figures: Figures,
+        let_in: Callable[[Taken | ClientLeft], None],
+    ) -> None:
+        super().__init__("doorkeeper", supervisor)
+        assert config.operator
+        self.clock = clock
+        self.figures = figures
+        self.let_in = let_in
+        self._classes = config.classes
+        self.door = Door(
+            config.settings, config.operator.door, config.seed, secrets.token_bytes(SECRET_BYTES)
+        )
+        self._entries: dict[int, _Entry] = {}
+        self._numbers: dict[str, int] = {}
+        self._next = 1
+        self._due_us: int | None = None  # when the timer that is set fires
+        self.figures.at_door = lambda: self.door.waiting
+
+    def find(self, headers: MultiMapping[str], address: str | None) -> Caller | None:
+        """Who sends a request; None while the door is off. Raises MalformedError for a name that is none."""
+        options = self.door.options
+        if not options.enabled:
+            return None
+        try:
+            return self.door.directory.find(
+                headers.get(options.tenant_header), address, headers.get(ROUTE_KEY, "")
+            )
+        except BadNameError as e:
+            raise messages.MalformedError(str(e)) from e
+
+    def receive(self, message: ToDoor) -> None:
+        now = self.clock.now_us()
+        match message:
+            case Taken():
+                self._arrive(now, message)
+            case Placed(request=request):
+                if number := self._number(request):
+                    self._perform(self.door.placed(now, number))
+            case Began(request=request):
+                if number := self._number(request):
+                    self._perform(self.door.began(now, number))
+            case Answered(number=number, served=served):
+                if self._forget(number):
+                    self._perform(self.door.ended(now, number, served))
+            case ClientLeft(request=request):
+                self._client_left(now, message, request)
+            case Tick():
+                self._due_us = None
+                self._perform(self.door.tick(now))
+            case Reconfigure(options=options):
+                self._perform(self.door.configure(now, options))
+            case TakeOut():
+                self._take_out(now, message)
+            case PutIn():
+                self._put_in(now, message)
+        self._set_timer(now)
+
+    def _number(self, request: JobRequest) -> int | None:
+        number = self._numbers.get(request.id)
+        entry = self._entries.get(number) if number else None
+        return number if entry and entry.taken.request is request else None
+
+    def _arrive(self, now: int, taken: Taken, owed: bool = False) -> None:
+        if taken.caller is None:
+            self.let_in(taken)
+            return
+        number = self._note(taken, taken.caller)
+        request = taken.request
+        ask = Ask(number, request.job_class, taken.caller, taken.arrived_us, request.time_left_us, owed)
+        self._perform(self.door.arrive(now, ask))
+
+    def _note(self, taken: Taken, caller: Caller) -> int:
+        number, self._next = self._next, self._next + 1
+        self._entries[number] = _Entry(taken, caller)
+        self._numbers.setdefault(taken.request.id, number)
+        return number
+
+    def _forget(self, number: int) -> _Entry | None:
+        entry = self._entries.pop(number, None)
+        if entry and self._numbers.get(entry.taken.request.id) == number:
+            del self._numbers[entry.taken.request.id]
+        return entry
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Admit(number=number):
+                    taken = self._entries[number].taken
+                    self._follow(number, taken.reply)
+                    self.let_in(taken)
+                case Refuse():
+                    self._refuse(action)
+
+    def _follow(self, number: int, reply: asyncio.Future[Answer]) -> None:
+        """Hear of its final answer, whoever gives it."""
+
+        def answered(done: asyncio.Future[Answer]) -> None:
+            self.tell(Answered(number, not done.cancelled() and done.result().status == 200))
+
+        reply.add_done_callback(answered)
+
+    def _refuse(self, refusal: Refuse) -> None:
+        entry = self._forget(refusal.number)
+        assert entry, "a refusal is of a request that waits here"
+        request, reply = entry.taken.request, entry.taken.reply
+        answer = messages.excess(refusal.retry_us) if refusal.own else messages.fail_fast(refusal.retry_us)
+        self.figures.answered(request.job_class, answer)
+        log.debug(
+            "door_refused",
+            extra={"id": request.id, "tenant": entry.caller.name, "why": refusal.reason},
+        )
+        if not reply.done():
+            reply.set_result(answer)
+
+    def _client_left(self, now: int, message: ClientLeft, request: JobRequest) -> None:
+        number = next((n for n, e in self._same_id(request) if e.taken.request is request), None)
+        if number is None:
+            self.let_in(message)
+            return
+        waits = self.door.waits(number)
+        self._forget(number)
+        self._perform(self.door.left(now, number))
+        if not waits:
+            self.let_in(message)
+
+    def _same_id(self, request: JobRequest) -> list[tuple[int, _Entry]]:
+        """The requests that this may be: as a rule one; where an id is used twice, all have to be looked
+        at.
+        """
+        number = self._numbers.get(request.id)
+        entry = self._entries.get(number) if number else None
+        if number and entry and entry.taken.request is request:
+            return [(number, entry)]
+        return [(n, e) for n, e in self._entries.items() if e.taken.request.id == request.id]
+
+    def _set_timer(self, now: int) -> None:
+        due = self.door.next_us
+        if due is None or (self._due_us is not None and self._due_us <= due):
+            return
+        self._due_us = due
+        asyncio.get_running_loop().call_later(max(0, due - now) / 1e6, self.tell, Tick())
+
+    # Between two processes
+
+    def _take_out(self, now: int, message: TakeOut) -> None:
+        number = self._number(message.request)
+        if number is None:
+            message.reply.set_result({})
+            return
+        told: Json = {"caller": asdict(self._entries[number].caller)}
+        if self.door.waits(number):
+            taken = self._entries[number].taken
+            told["waiting"] = {"arrived_us": taken.arrived_us}
+            self._forget(number)
+            self._perform(self.door.left(now, number))
+        message.reply.set_result(told)
+
+    def _put_in(self, now: int, message: PutIn) -> None:
+        """It keeps its arrival, so its patience; and the tenant that it was found to be of."""
+        caller = Caller(**message.told["caller"])
+        if waiting := message.told.get("waiting"):
+            taken = Taken(message.request, waiting["arrived_us"], message.reply, caller)
+            self._arrive(now, taken, owed=True)
+            return
+        taken = Taken(message.request, now, message.reply, caller)
+        number = self._note(taken, caller)
+        self.door.resume(now, Ask(number, message.request.job_class, caller, now, 1, owed=True))
+        self._follow(number, message.reply)
+
+    def memory(self) -> Json:
+        """What a successor must know to go on as one with this process."""
+        return memory.learned(self.door)
+
+    def recall(self, told: Json) -> None:
+        memory.recall(self.door, self.clock.now_us(), told)
+
+    def stats(self) -> Answer:
+        """The door's figures as they are now."""
+        shown = {"enabled": self.door.options.enabled} | self.door.figures()
+        names = self._classes
+        for key in ("window", "unplaced", "class_ms"):
+            shown[key] = dict(zip(names, shown[key], strict=True))
+        return messages.figures(shown)
--- a/robinhill/net/figures.py
+++ b/robinhill/net/figures.py
@@ -1,6 +1,7 @@
 """The figures that operators read: counted in one object, and rendered from it alone."""
 
 from collections import Counter
+from collections.abc import Callable
 
 from robinhill.net.messages import Answer
 
@@ -24,6 +25,7 @@
         self.active = 0  # requests taken and not yet ended; where the client has left, by the attempt's end
         self.pool_size = 0
         self.pool_ejected = 0
+        self.at_door: Callable[[], int] | None = None  # requests that wait at the door, where there is one
 
     def answered(self, job_class: int, answer: Answer) -> None:
         """A request has got its final answer, whoever worded it."""
@@ -40,4 +42,6 @@
         lines.append(f"{PREFIX}.active:{self.active}|g")
         lines.append(f"{PREFIX}.pool_size:{self.pool_size}|g")
         lines.append(f"{PREFIX}.pool_ejected:{self.pool_ejected}|g")
+        if self.at_door:
+            lines.append(f"{PREFIX}.door.queued:{self.at_door()}|g")
         return "".join(f"{line}\n" for line in lines)
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -7,8 +7,10 @@
 from typing import Any
 
 from aiohttp import web
+from multidict import MultiMapping
 
 from robinhill.config import Config
+from robinhill.door.callers import Caller
 from robinhill.net import messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
@@ -45,7 +47,9 @@
         figures: Figures,
         report: Callable[[Taken | ClientLeft], None],
         deliver: Callable[[JobEvent], Awaitable[None]],
+        find: Callable[[MultiMapping[str], str | None], Caller | None] | None = None,
     ) -> None:
+        self.find = find  # who sends a request, where there is a door
         self.config = config
         self.supervisor = supervisor
         self.clock = clock
@@ -120,6 +124,7 @@
         job = messages.read_request(
             request.raw_path, request.headers, body, self.config.classes, self.deadlines_us
         )
+        caller = self.find(request.headers, connection_of(request).peer()) if self.find else None
         connection_of(request).claim(useful=True)
         if self.closed_to_new:
             settings = self.config.settings
@@ -127,7 +132,7 @@
             self.figures.answered(job.job_class, refusal)
             return self._respond(refusal)
         reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self.report(Taken(job, arrived_us, reply))
+        self.report(Taken(job, arrived_us, reply, caller))
         return await self._answer(connection_of(request), _Answering(job, reply))
 
     async def _answer(self, connection: Connection, owed: "_Answering") -> web.StreamResponse:
--- a/robinhill/net/messages.py
+++ b/robinhill/net/messages.py
@@ -147,6 +147,16 @@
     return Answer(503, b"refused, safe to try again\n", retry_after_us)
 
 
+def excess(retry_after_us: int = 0) -> Answer:
+    """Refused for what its own tenant sends; trying again does no harm."""
+    return Answer(429, b"refused, your share is used up; safe to try again later\n", retry_after_us)
+
+
+def figures(values: dict[str, Any]) -> Answer:
+    """Figures for operators as an object."""
+    return Answer(200, orjson.dumps(values, option=orjson.OPT_INDENT_2 | orjson.OPT_APPEND_NEWLINE))
+
+
 DONE = Answer(200, b"yes\n")
 CONFLICT = Answer(409, b"a request of this id is held already\n", close=True)
 FAILED = Answer(502, b"failed, may have run\n")
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -2,19 +2,21 @@
 
 import asyncio
 import logging
+import os
 import signal
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from dataclasses import fields, replace
 from typing import Any
 
 from robinhill import config as configuration
-from robinhill.config import Config
-from robinhill.net import messages
+from robinhill.config import Config, OperatorFile
+from robinhill.net import logs, messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
 from robinhill.net.connections import bind, inherit
-from robinhill.net.decider import Adopt, Decider, HoldOut, Release
+from robinhill.net.decider import Adopt, Decider, HoldOut, Release, Taken
 from robinhill.net.destinations import Destinations, Move, Watch
+from robinhill.net.doorkeeper import Doorkeeper, PutIn, Reconfigure, TakeOut
 from robinhill.net.figures import Figures
 from robinhill.net.inbound import Inbound
 from robinhill.net.link import LinkLostError
@@ -31,13 +33,15 @@
 LIST_S = 1.5  # for discovery's first answer to a successor; its predecessor's list counts meanwhile
 START_S = 0.9  # an operator's call to a process that still starts is answered no after it
 STARTING = Answer(503, b"still starting\n")
+NO_DOOR = Answer(404, b"no operators' file is named, so there is no door\n")
 
 
 class Scheduler:
     """One scheduler: the decider with its endpoints, the destination set and the inbound side."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, env: Mapping[str, str] = os.environ) -> None:
         self.config = config
+        self.env = env  # for a reload
         self.clock = Clock()
         self.supervisor = Supervisor()
         self.figures = Figures(config.classes)
@@ -47,12 +51,28 @@
         self.destinations = Destinations(
             config.discovery, config.known.generation, self.supervisor, self.decider.tell
         )
+        self.door: Doorkeeper | None = None
+        if config.operator:
+            self.door = Doorkeeper(config, self.supervisor, self.clock, self.figures, self.decider.tell)
+            self.decider.door = self.door.tell
         self.inbound = Inbound(
-            config, self.supervisor, self.clock, self.figures, self.decider.tell, self._deliver
+            config,
+            self.supervisor,
+            self.clock,
+            self.figures,
+            self.door.tell if self.door else self.decider.tell,
+            self._deliver,
+            self.door.find if self.door else None,
         )
         self.operators: Operators | None = None
         if config.ops:
-            calls = Calls(self.readiness, self.decider.stats, self.hold_out, self.set_drained)
+            calls = Calls(
+                self.readiness,
+                self.decider.stats,
+                self.door.stats if self.door else lambda: NO_DOOR,
+                self.hold_out,
+                self.set_drained,
+            )
             self.operators = Operators(config.ops, config.ops_sockets - 1, self.supervisor, calls)
         self.started = asyncio.Event()  # it accepts
         self.succession: Succession | None = None
@@ -70,6 +90,8 @@
         else:
             self.decider.start()
             self.destinations.start()
+        if self.door:
+            self.door.start()
         self.inbound.start(sock)
         if self.succession:
             await self.succession.begin()
@@ -94,24 +116,36 @@
             log.warning("list_awaited", extra={"seconds": LIST_S})
         if told and (memory := await succession.ask("memory")):
             self.decider.recall(memory["decider"])
+            if self.door and memory.get("door"):
+                self.door.recall(memory["door"])
             self.inbound.drain(memory["drained"])
 
     def reload(self) -> None:
         """Take the file's new values; a faulty one changes nothing. Requests in flight go on as they are."""
         try:
-            new = configuration.load(again=True)
+            new = configuration.load(self.env, again=True)
         except configuration.ConfigError as e:
             log.error("reload_failed", extra={"key": e.key, "why": e.what})
             return
         moved = [f.name for f in fields(Config) if getattr(new, f.name) != getattr(self.config, f.name)]
         # The list and the seed are for the start; the rest is built into parts that are running.
-        waiting = [name for name in moved if name not in ("discovery", "known", "seed")]
+        waiting = [name for name in moved if name not in ("discovery", "known", "seed", "operator")]
+        if new.operator and self.config.operator:
+            self._reconfigure(new.operator, self.config.operator)
         if waiting:
             log.warning("reload_needs_restart", extra={"keys": ",".join(waiting)})
-        self.config = replace(self.config, discovery=new.discovery)
+        self.config = replace(self.config, discovery=new.discovery, operator=new.operator)
         log.info("reloaded", extra={"discovery": new.discovery})
         self.destinations.tell(Move(new.discovery))
 
+    def _reconfigure(self, new: OperatorFile, old: OperatorFile) -> None:
+        """Go by another operators' file from now on; what waits at the door goes on waiting."""
+        if new.log != old.log:
+            logs.configure(new.log)
+        if self.door and new.door != old.door:
+            self.door.tell(Reconfigure(new.door))
+            log.info("door_reconfigured", extra={"enabled": new.door.enabled})
+
     async def drain(self) -> None:
         """Take requests a little longer, then refuse new ones, until all that was taken is answered.
 
@@ -193,9 +227,18 @@
         self.supervisor.spawn(self._deliver(event), f"deliver {event.id}")
 
     async def _release(self, request: JobRequest) -> Json | None:
+        """What a successor needs to go on with a request; None while it can't go."""
+        at_door: Json = {}
+        if self.door:
+            known: asyncio.Future[Json] = asyncio.get_running_loop().create_future()
+            self.door.tell(TakeOut(request, known))
+            at_door = await known
+            if "waiting" in at_door:
+                return {"door": at_door}
         reply: asyncio.Future[Json | None] = asyncio.get_running_loop().create_future()
         self.decider.tell(Release(request, reply))
-        return await reply
+        told = await reply
+        return told and told | {"door": at_door}
 
     async def _send_over(self, told: Json, fd: int | None) -> bool:
         """Whether the successor has a request now; without a descriptor its client has gone."""
@@ -223,7 +266,8 @@
         }
 
     def memory(self) -> Json:
-        return {"decider": self.decider.memory(), "drained": self.inbound.drained}
+        door = self.door.memory() if self.door else None
+        return {"decider": self.decider.memory(), "drained": self.inbound.drained, "door": door}
 
     def succeeded(self, yes: bool) -> None:
         """A successor accepts; or the other process has gone, and all is ours again."""
@@ -246,6 +290,14 @@
     async def adopt(self, body: Json, fd: int) -> None:
         request = messages.read_handed(body["request"])
         reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        at_door = body.get("door") or {}
+        if self.door and "caller" in at_door:
+            self.door.tell(PutIn(request, at_door, reply))
+        if waiting := at_door.get("waiting"):
+            if not self.door:  # it has waited long enough
+                self.decider.tell(Taken(request, waiting["arrived_us"], reply))
+            await self.inbound.adopt(request, reply, fd)
+            return
         done = asyncio.Event()
         self.decider.tell(Adopt(request, body, reply, done))
         await done.wait()
--- a/tests/test_keyvalue.py
+++ b/tests/test_logs.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from robinhill.net.keyvalue import KeyValueFormatter, Throttle
+from robinhill.net.logs import Throttle, formatter
 
 
 def record(level: int, created: float) -> logging.LogRecord:
@@ -17,5 +17,5 @@
     assert passed == [True, True, False, False, False]
     assert throttle.filter(record(logging.ERROR, 7.9))
     late = record(logging.WARNING, 8.1)
-    assert throttle.filter(late) and "event=malformed kept_back=3" in KeyValueFormatter().format(late)
+    assert throttle.filter(late) and "event=malformed kept_back=3" in formatter().format(late)
     assert throttle.filter(again := record(logging.WARNING, 8.2)) and not hasattr(again, "kept_back")
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from robinhill.net import keyvalue, messages
+from robinhill.net import logs, messages
 from robinhill.net.clock import Clock
 
 
@@ -30,5 +30,5 @@
 
 def test_a_log_line_is_one_line_of_pairs() -> None:
     record = logging.makeLogRecord({"msg": "watch_lost", "levelname": "WARNING", "why": 'a "b"\nc', "n": 3})
-    line = keyvalue.KeyValueFormatter().format(record)
+    line = logs.formatter().format(record)
     assert line.endswith('event=watch_lost why="a \\"b\\"\\nc" n=3') and "\n" not in line
