--- /dev/null
+++ b/robinhill/commands/demo.py
@@ -0,0 +1,94 @@
+"""`robinhill demo`: a scheduler, workers, discovery and clients on loopback, and a live table of who gets
+what.
+"""
+
+import asyncio
+import signal
+import sys
+from collections import defaultdict
+from pathlib import Path
+from typing import Any
+
+import click
+import orjson
+
+from robinhill import config
+from robinhill.standin.client import Asked, Clients, Tenant, served_worth
+from robinhill.standin.program import Town, town
+from robinhill.standin.rules import broken
+from robinhill.standin.site import Site
+
+Json = dict[str, Any]
+REFRESH_S = 1.0
+SMALL, LOAD = 8, 1.3  # small tenants beside a large one; all together ask for so much of the fleet
+LARGE_SHARE = 0.6
+DOOR: Json = {"door": {"enabled": True}}
+
+
+def show(seconds: float, workers: int, operator: str | None) -> int:
+    """Play for so long, or until Ctrl-C; 1 if a rule was broken, 2 for a faulty operators' file."""
+    given = DOOR
+    if operator:
+        try:
+            config.read_operator(operator)
+        except config.ConfigError as e:
+            print(f"robinhill: {e}", file=sys.stderr)
+            return 2
+        given = orjson.loads(Path(operator).read_bytes())
+    return asyncio.run(_play(seconds, workers, given))
+
+
+async def _play(seconds: float, workers: int, operator: Json) -> int:
+    site = Site()
+    async with town(site, workers=workers, operator=operator) as here:
+        rate = LOAD * here.slots / (site.mean_work_ms / 1000)
+        tenants = [Tenant("large-club", rate * LARGE_SHARE, retries=2)]
+        tenants += [Tenant(f"club-{i}", rate * (1 - LARGE_SHARE) / SMALL, retries=2) for i in range(SMALL)]
+        clients = Clients(site, lambda: here.program.listen, here.journal, seed=1)
+        playing = asyncio.get_running_loop().create_task(clients.play(tenants, seconds))
+        stop = asyncio.Event()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGINT, stop.set)
+        click.echo(f"{workers} workers, {len(tenants)} tenants, {LOAD:g} times what the fleet can do.")
+        waiting = asyncio.get_running_loop().create_task(stop.wait())
+        while not playing.done() and not stop.is_set():
+            await asyncio.wait([playing, waiting], timeout=REFRESH_S, return_when=asyncio.FIRST_COMPLETED)
+            if sys.stdout.isatty():
+                click.clear()
+                click.echo(await _table(here, clients.asked))
+        stopped = stop.is_set()
+        waiting.cancel()
+        if stopped:
+            playing.cancel()
+        await asyncio.wait([playing, waiting])
+        click.echo(await _table(here, clients.asked))
+        unsafe = [k.name for k in site.kinds if k.repeat == "fragile"]
+        faults = broken(here.journal, unsafe, ended=not stopped)
+        code = await here.program.stop()
+    click.echo(f"The scheduler ended with {code}; rules broken: {len(faults)}.")
+    for fault in faults[:10]:
+        click.echo(f"  {fault}")
+    return 1 if faults or code else 0
+
+
+async def _table(here: Town, asked: list[Asked]) -> str:
+    """What each tenant and each worker has got so far."""
+    lines = ["tenant        asked  served  refused   worth in time"]
+    by_tenant: dict[str, list[Asked]] = defaultdict(list)
+    for each in asked:
+        if each.tries:
+            by_tenant[each.tenant].append(each)
+    for name in sorted(by_tenant):
+        its = by_tenant[name]
+        served = sum(a.tries[-1].status == 200 for a in its)
+        refused = sum(t.status in (429, 503) for a in its for t in a.tries)
+        lines.append(f"{name:12} {len(its):6} {served:7} {refused:8}   {served_worth(its):8.0%}")
+    lines.append("worker         jobs  running  waiting")
+    for worker in here.workers:
+        jobs = here.journal.begun[worker.name]
+        lines.append(f"{worker.name:12} {jobs:6} {len(worker.running):8} {len(worker.waiting):8}")
+    status, text = await here.program.call("GET", "/ops/door")
+    if status == 200:
+        door = orjson.loads(text)
+        why = ", ".join(f"{reason} {n}" for reason, n in door["refused"].items()) or "nobody"
+        lines.append(f"door: {door['queued']} queued, {door['let_in']} let in; refused {why}")
+    return "\n".join(lines)
--- a/robinhill/door/queues.py
+++ b/robinhill/door/queues.py
@@ -201,7 +201,7 @@
                 ready[queue] = None
 
     def _quantum(self, queue: Queue) -> float:
-        return max(1.0, self.quantum_us * self.weight(queue))
+        return max(1e-3, self.quantum_us * self.weight(queue))
 
     def _activate(self, now: int, queue: Queue) -> None:
         """It waits again: rounds and time since have paid its debt off, as far as they go."""
--- a/robinhill/net/logs.py
+++ b/robinhill/net/logs.py
@@ -27,11 +27,8 @@
     """When, how grave, and whose line it is; the trace of an error as one value."""
     record: logging.LogRecord = event["_record"]
     moment = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
-    event |= {
-        "time": f"{moment}.{int(record.msecs):03d}Z",
-        "level": record.levelname.lower(),
-        "logger": record.name,
-    }
+    event["time"] = f"{moment}.{int(record.msecs):03d}Z"
+    event["level"], event["logger"] = record.levelname.lower(), record.name
     if event.pop("exc_info", None) and record.exc_info:
         event["error"] = logging.Formatter().formatException(record.exc_info)
     return event
--- /dev/null
+++ b/robinhill/standin/client.py
@@ -0,0 +1,163 @@
+"""Clients: tenants that ask at a rate of their own, whatever is answered, and may come back when told."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any
+
+import aiohttp
+
+from robinhill.standin.journal import Journal, What
+from robinhill.standin.site import JobKind, Site
+from robinhill.standin.worker import WORK
+
+REFUSALS = (429, 503)
+IMPATIENT_S = 0.01  # how soon a client that takes no advice is back
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    """Who asks, and how much. ``retries``: how often a refused request is tried again, under a fresh id.
+
+    ``heed``: it comes back when it is told; else at once. ``heavy``: its jobs take so many times as long.
+    """
+
+    name: str
+    rate: float  # requests a second
+    retries: int = 0
+    heed: bool = True
+    heavy: float = 1.0
+    kinds: tuple[str, ...] = ()  # of the site's; none: all, by their shares
+
+
+@dataclass(slots=True)
+class Try:
+    """One request and its answer."""
+
+    at: float
+    status: int = 0  # 0: none came
+    took_s: float = 0.0
+    told_s: float | None = None
+
+
+@dataclass(slots=True)
+class Asked:
+    """What a client wants: one job, in one or more tries."""
+
+    tenant: str
+    kind: JobKind
+    work_s: float
+    tries: list[Try] = field(default_factory=list)
+
+    @property
+    def in_time(self) -> bool:
+        """Served, the last try within its aim: that and a multiple of the job's own length."""
+        last = self.tries[-1]
+        return last.status == 200 and last.took_s <= self.kind.aim_ms / 1000 + self.kind.stretch * self.work_s
+
+    @property
+    def worth(self) -> float:
+        return self.kind.worth * self.work_s
+
+
+class Clients:
+    """Plays tenants against a scheduler's address. Arrivals are drawn from a seed and wait for nothing."""
+
+    def __init__(
+        self, site: Site, address: Callable[[], str], journal: Journal, seed: int, header: str = "X-Tenant-Id"
+    ) -> None:
+        self.site = site
+        self.address = address
+        self.journal = journal
+        self.random = random.Random(seed)
+        self.header = header
+        self.asked: list[Asked] = []
+        self.latest_s = 0.0  # the most that an arrival came behind its time: this machine's own delay
+        self._numbers = count()
+        self._tag = f"{seed:x}"
+        self._open: set[asyncio.Task[None]] = set()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def play(self, tenants: list[Tenant], seconds: float) -> None:
+        """Let all tenants ask for so long, and wait until everything is answered."""
+        arrivals = sorted(self._draw(tenants, seconds), key=lambda x: x[0])
+        connector = aiohttp.TCPConnector(limit=0)
+        begun = time.monotonic()
+        async with aiohttp.ClientSession(connector=connector) as self._session:
+            for offset, tenant, kind, work_s in arrivals:
+                if (wait := begun + offset - time.monotonic()) > 0:
+                    await asyncio.sleep(wait)
+                else:
+                    self.latest_s = max(self.latest_s, -wait)
+                self._spawn(self._pursue(tenant, kind, work_s, begun + seconds))
+            while self._open:
+                await asyncio.wait(self._open)
+
+    def _draw(self, tenants: list[Tenant], seconds: float) -> list[tuple[float, Tenant, JobKind, float]]:
+        drawn = []
+        for tenant in tenants:
+            kinds = [k for k in self.site.kinds if not tenant.kinds or k.name in tenant.kinds]
+            shares, at = [k.share for k in kinds], 0.0
+            while tenant.rate and (at := at + self.random.expovariate(tenant.rate)) < seconds:
+                kind = self.random.choices(kinds, shares)[0]
+                # Job lengths spread by a factor of about two round their mean.
+                work_s = kind.work_ms / 1000 * tenant.heavy * self.random.lognormvariate(-0.08, 0.4)
+                drawn.append((at, tenant, kind, work_s))
+        return drawn
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._open.add(task)
+        task.add_done_callback(self._open.discard)
+
+    async def _pursue(self, tenant: Tenant, kind: JobKind, work_s: float, until: float) -> None:
+        """Ask, and ask again while refused, as this tenant does."""
+        asked = Asked(tenant.name, kind, work_s)
+        self.asked.append(asked)
+        key = f"{self._tag}{next(self._numbers):x}"
+        for number in range(tenant.retries + 1):
+            this = await self._try(tenant, kind, work_s, key, number)
+            asked.tries.append(this)
+            if this.status not in REFUSALS or number == tenant.retries:
+                return
+            wait = (this.told_s or 0.0) if tenant.heed else 0.0
+            if time.monotonic() + wait > until:
+                return
+            await asyncio.sleep(max(wait, IMPATIENT_S))
+
+    async def _try(self, tenant: Tenant, kind: JobKind, work_s: float, key: str, number: int) -> Try:
+        assert self._session
+        request_id = f"{key}-{number}"
+        headers = {
+            "X-Request-ID": request_id, "X-Priority-Class": kind.name, "X-Route-Key": key,
+            "X-Timeout": f"{kind.deadline_ms}m", "X-Attrs": f"{WORK}{work_s * 1000:.3f}",
+            self.header: tenant.name,
+        }  # fmt: skip
+        if number:
+            headers["X-Retried"] = "1"
+        this = Try(time.monotonic())
+        timeout = aiohttp.ClientTimeout(total=kind.deadline_ms / 1000 + 1)
+        self.journal.note(What.ASKED, request_id, kind=kind.name)
+        try:
+            async with self._session.post(
+                f"http://{self.address()}/{kind.name}/x", data=b"work", headers=headers, timeout=timeout
+            ) as response:
+                await response.read()
+                this.status = response.status
+                told = response.headers.get("Retry-After")
+                this.told_s = float(told) if told else None
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            self.journal.note(What.GONE, request_id)
+        else:
+            self.journal.note(What.ANSWERED, request_id, status=this.status)
+        this.took_s = time.monotonic() - this.at
+        return this
+
+
+def served_worth(asked: list[Asked]) -> float:
+    """Worth answered in time over the worth asked for; 1 where nothing was asked."""
+    wanted = sum(a.worth for a in asked)
+    return sum(a.worth for a in asked if a.in_time) / wanted if wanted else 1.0
--- /dev/null
+++ b/robinhill/standin/journal.py
@@ -0,0 +1,49 @@
+"""What happened, as the stand-ins saw it: one list of events with their times, for checkers and figures."""
+
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+
+class What(Enum):
+    """What can happen to a request or a worker."""
+
+    ASKED = auto()  # a client's request is written
+    ANSWERED = auto()  # its answer is here whole
+    GONE = auto()  # its client has left
+    SENT = auto()  # a worker has got it whole
+    BEGAN = auto()  # and runs it
+    RETURNED = auto()  # hands it back, never run
+    ENDED = auto()  # has run it to its end, or lost it
+    CALLED_OFF = auto()  # was told to give it up, or saw its connection close before the 202
+    LEAVING = auto()  # discovery has written that a worker leaves
+    STARTED = auto()  # a worker has started, cold
+    FELL = auto()  # it was sent more than it could bear
+
+
+@dataclass(slots=True, frozen=True)
+class Event:
+    """One thing that happened; ``at`` is the monotonic clock's time in seconds."""
+
+    at: float
+    what: What
+    request: str = ""
+    worker: str = ""
+    status: int = 0
+    kind: str = ""
+
+
+@dataclass(slots=True)
+class Journal:
+    """The events of a run, in the order in which they were noted."""
+
+    events: list[Event] = field(default_factory=list)
+    begun: Counter[str] = field(default_factory=Counter)  # by worker, for live figures
+
+    def note(
+        self, what: What, request: str = "", worker: str = "", status: int = 0, kind: str = ""
+    ) -> None:
+        self.events.append(Event(time.monotonic(), what, request, worker, status, kind))
+        if what is What.BEGAN:
+            self.begun[worker] += 1
--- /dev/null
+++ b/robinhill/standin/program.py
@@ -0,0 +1,159 @@
+"""The program itself as a process of its own, set up for a small site; and a whole site to play on."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from robinhill.standin.discovery import Discovery
+from robinhill.standin.journal import Journal
+from robinhill.standin.site import Site, free_address
+from robinhill.standin.worker import Worker
+
+Json = dict[str, Any]
+ROOT = Path(__file__).parent.parent.parent
+START_S = 15.0
+END_S = 20.0
+
+
+@dataclass(slots=True, eq=False)
+class Program:
+    """A scheduler started as the platform starts it; its log goes to a file of its folder."""
+
+    folder: Path
+    site: Site
+    discovery: Discovery
+    operator: Json | None = None
+    listen: str = field(default_factory=free_address)
+    ops: str = field(default_factory=free_address)
+    process: asyncio.subprocess.Process | None = None
+    env: dict[str, str] = field(default_factory=dict)
+    pass_fds: tuple[int, ...] = ()
+    number: int = 0
+
+    @property
+    def pid(self) -> int:
+        assert self.process
+        return self.process.pid
+
+    @property
+    def log(self) -> Path:
+        return self.folder / f"log-{self.number}.txt"
+
+    def write(self) -> None:
+        """Its configuration files, as they are to be now."""
+        config = {
+            "name": "n1", "listen": self.listen, "discovery": self.discovery.address, "seed": "7",
+            "known": self.discovery.known(), "settings": self.site.settings(), "limits": {"sockets": 4096},
+        }  # fmt: skip
+        (self.folder / "config.json").write_text(json.dumps(config))
+        if self.operator is not None:
+            (self.folder / "operator.json").write_text(json.dumps(self.operator))
+
+    async def start(self) -> None:
+        self.write()
+        env = os.environ | {"GW_CONFIG": str(self.folder / "config.json"), "GW_OPS": self.ops}
+        env |= {"TMPDIR": str(self.folder)} | self.env
+        if self.operator is not None:
+            env["GW_OPERATOR"] = str(self.folder / "operator.json")
+        with self.log.open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "robinhill", cwd=ROOT, env=env, stderr=log, pass_fds=self.pass_fds
+            )
+        async with asyncio.timeout(START_S):
+            while not await self._ready():
+                if self.process.returncode is not None:
+                    raise RuntimeError(f"it ended at its start: {self.log.read_text()[-2000:]}")
+                await asyncio.sleep(0.02)
+
+    async def _ready(self) -> bool:
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            return (await self.call("GET", "/ops/readiness"))[0] == 200
+        return False
+
+    async def call(self, method: str, path: str, body: str = "") -> tuple[int, str]:
+        """An operator's call."""
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, f"http://{self.ops}{path}", data=body) as answer,
+        ):
+            return answer.status, await answer.text()
+
+    async def door(self) -> Json:
+        """The door's figures."""
+        status, text = await self.call("GET", "/ops/door")
+        assert status == 200, text
+        figures: Json = json.loads(text)
+        return figures
+
+    def reload(self, operator: Json) -> None:
+        self.operator = operator
+        self.write()
+        self.signal(signal.SIGHUP)
+
+    def signal(self, number: int) -> None:
+        assert self.process
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(number)
+
+    async def stop(self) -> int:
+        """SIGTERM, and its exit code; a kill if it does not end."""
+        assert self.process
+        self.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(END_S):
+                return await self.process.wait()
+        except TimeoutError:
+            self.process.kill()
+            return await self.process.wait()
+
+
+@dataclass(slots=True, eq=False)
+class Town:
+    """A site at work: workers, discovery and one scheduler."""
+
+    site: Site
+    journal: Journal
+    workers: list[Worker]
+    discovery: Discovery
+    program: Program
+
+    @property
+    def slots(self) -> float:
+        """Work that the workers do in a unit of time, all warm."""
+        return sum(w.slots * w.speed for w in self.workers)
+
+
+@asynccontextmanager
+async def town(
+    site: Site | None = None, *, workers: int = 6, slots: int = 4, operator: Json | None = None
+) -> AsyncIterator[Town]:
+    """A whole site on loopback; all of it has ended behind the block."""
+    site, journal = site or Site(), Journal()
+    made = [Worker(f"w{i}", site, journal, slots, speed=1.0 - 0.3 * (i % 2)) for i in range(workers)]
+    discovery = Discovery(made, journal)
+    with tempfile.TemporaryDirectory(prefix="robinhill-") as folder:
+        program = Program(Path(folder), site, discovery, operator)
+        for worker in made:
+            worker.scheduler = program.listen
+            await worker.start()
+        await discovery.start()
+        try:
+            await program.start()
+            yield Town(site, journal, made, discovery, program)
+        finally:
+            if program.process and program.process.returncode is None:
+                await program.stop()
+            await discovery.stop()
+            for worker in made:
+                await worker.stop()
--- /dev/null
+++ b/robinhill/standin/site.py
@@ -0,0 +1,87 @@
+"""A small site: the settings that the platform would give, and where its parts listen."""
+
+import socket
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+Json = dict[str, Any]
+LOOPBACK = "127.0.0.1"
+
+
+@dataclass(slots=True, frozen=True)
+class JobKind:
+    """A class of jobs; times in milliseconds, ``work_ms`` on a worker of speed 1."""
+
+    name: str
+    work_ms: float
+    aim_ms: int
+    stretch: float
+    deadline_ms: int
+    worth: float = 1.0
+    repeat: str = "retryable"
+    share: float = 1.0  # of the requests
+
+
+# Shaped as the operators' classes, with jobs an eighth as long, so that a minute holds enough of them.
+KINDS = (
+    JobKind("member-lookup", 80, 40, 2.5, 1_000, share=0.47),
+    JobKind("season-report", 450, 400, 2.0, 3_500, share=0.31),
+    JobKind("renewal-charge", 300, 100, 2.5, 3_500, worth=8.0, repeat="fragile", share=0.22),
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Site:
+    """What all parts of a small installation agree on."""
+
+    kinds: Sequence[JobKind] = KINDS
+    schedulers: int = 1
+    cold_s: float = 2.0
+    cold_from: float = 0.32
+    fall_multiple: float = 3.0
+    tip_after_s: float = 1.0
+    connect_timeout_ms: int = 200
+    max_retry_after_s: float = 60.0
+    changes: Json = field(default_factory=dict)  # of the settings, by key
+
+    def settings(self, number: int = 0) -> Json:
+        """The settings of a scheduler, in the platform's words and units."""
+        classes = [
+            {
+                "name": k.name, "aim-us": k.aim_ms * 1000, "hard-limit-us": k.deadline_ms * 1000,
+                "repeat": k.repeat, "worth": k.worth,
+            }
+            for k in self.kinds
+        ]  # fmt: skip
+        given: Json = {
+            "areas": ["north"], "shapes": ["std"], "zone": 0, "self-index": number,
+            "fleet-size": self.schedulers, "discovery": "subscribe", "classes": classes, "value-by": "work",
+            "guarantees": {
+                "drain-grace-us": 500_000, "cold-from": self.cold_from, "cold-us": int(self.cold_s * 1e6),
+                "fall-multiple": self.fall_multiple, "tip-after-us": int(self.tip_after_s * 1e6),
+            },
+            "policy-limits": {
+                "most-tries": 4, "connect-timeout-us": self.connect_timeout_ms * 1000, "cancelling": True,
+                "keepalive-us": 15_000_000, "max-retry-after-us": int(self.max_retry_after_s * 1e6),
+                "retry-after": True, "probes": True,
+            },
+            "prices": {"waste": 0.02},
+            "specifics": {"class-stretch": [k.stretch for k in self.kinds], "tells-start": True},
+        }  # fmt: skip
+        return given | self.changes
+
+    def kind(self, name: str) -> JobKind:
+        return next(k for k in self.kinds if k.name == name)
+
+    @property
+    def mean_work_ms(self) -> float:
+        """Of one request."""
+        return sum(k.work_ms * k.share for k in self.kinds) / sum(k.share for k in self.kinds)
+
+
+def free_address() -> str:
+    """A loopback address that nothing listens on now."""
+    with socket.socket() as sock:
+        sock.bind((LOOPBACK, 0))
+        return f"{LOOPBACK}:{sock.getsockname()[1]}"
--- /dev/null
+++ b/tests/test_door_properties.py
@@ -0,0 +1,226 @@
+"""The door under arbitrary interleavings of arrive, leave, place, begin, end, time and reload."""
+
+from collections import defaultdict
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from robinhill import api
+from robinhill.door import Admit, Ask, Door, DoorOptions, Refuse
+from robinhill.door.options import Limits, Tenant
+from robinhill.door.queues import Queue, Rounds, Ticket
+
+from .conftest import MS, S, klass
+from .conftest import settings as node_settings
+
+CLASSES = (
+    klass(aim_us=100 * MS, deadline_us=2 * S),
+    klass(aim_us=400 * MS, deadline_us=5 * S, worth=8.0, repeat=api.Repeat.UNSAFE),
+)
+SETTINGS = node_settings(classes=CLASSES, retry_after=True, max_retry_after_us=10 * S, tells_start=True)
+TENANTS = ("a", "b", "c", "d", "e")
+OPTIONS = (
+    DoorOptions(enabled=True, queued=12, queues=4, hand=2, accounts=8),
+    DoorOptions(enabled=True, queued=5, queues=8, hand=3, accounts=8, tenants={"a": Tenant(weight=3)}),
+    DoorOptions(enabled=True, queued=12, queues=4, hand=2, limits=Limits(requests_per_s=20, open=6)),
+    DoorOptions(enabled=False),
+)
+
+
+class World(RuleBasedStateMachine):
+    """A caller of the door that carries its actions out and checks each."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1_000 * S
+        self.number = 0
+        self.state: dict[int, str] = {}  # waits, in, placed, runs; gone once answered
+
+    @initialize(options=st.sampled_from(OPTIONS))
+    def begin(self, options: DoorOptions) -> None:
+        self.door = Door(SETTINGS, options, 7, bytes(16))
+
+    def perform(self, actions: list[Any]) -> None:
+        for action in actions:
+            assert self.state[action.number] == "waits", "an answer to what is in, or was answered"
+            if isinstance(action, Admit):
+                self.state[action.number] = "in"
+            else:
+                assert isinstance(action, Refuse) and 0 <= action.retry_us <= 10 * S
+                del self.state[action.number]
+
+    def some(self, data: Any, *states: str) -> int | None:
+        found = [n for n, state in self.state.items() if state in states]
+        return data.draw(st.sampled_from(found)) if found else None
+
+    @rule(
+        tenant=st.sampled_from(TENANTS), job_class=st.integers(0, 1), left=st.integers(1, 5_000),
+        key=st.integers(0, 3), owed=st.booleans(),
+    )  # fmt: skip
+    def arrive(self, tenant: str, job_class: int, left: int, key: int, owed: bool) -> None:
+        self.number += 1
+        caller = self.door.directory.find(tenant, "10.0.0.1", str(key))
+        self.state[self.number] = "waits"
+        ask = Ask(self.number, job_class, caller, self.now, left * MS, owed)
+        self.perform(self.door.arrive(self.now, ask))
+
+    @rule(data=st.data())
+    def place(self, data: Any) -> None:
+        if number := self.some(data, "in"):
+            self.state[number] = "placed"
+            self.perform(self.door.placed(self.now, number))
+
+    @rule(data=st.data())
+    def start(self, data: Any) -> None:
+        if number := self.some(data, "placed"):
+            self.state[number] = "runs"
+            self.perform(self.door.began(self.now, number))
+
+    @rule(data=st.data(), served=st.booleans())
+    def end(self, data: Any, served: bool) -> None:
+        if number := self.some(data, "in", "placed", "runs"):
+            del self.state[number]
+            self.perform(self.door.ended(self.now, number, served))
+
+    @rule(data=st.data())
+    def leave(self, data: Any) -> None:
+        if number := self.some(data, "waits", "in", "placed", "runs"):
+            del self.state[number]
+            self.perform(self.door.left(self.now, number))
+
+    @rule(ms=st.integers(0, 3_000))
+    def pass_time(self, ms: int) -> None:
+        until = self.now + ms * MS
+        while (due := self.door.next_us) is not None and due <= until:
+            self.now = max(self.now + 1, due)
+            self.perform(self.door.tick(self.now))
+        self.now = until
+
+    @rule(seconds=st.integers(1, 100))
+    def step_back(self, seconds: int) -> None:
+        """A clock that steps back changes nothing and ends nothing."""
+        self.perform(self.door.tick(self.now - seconds * S))
+
+    @rule(options=st.sampled_from(OPTIONS))
+    def reload(self, options: DoorOptions) -> None:
+        before = {n for n, state in self.state.items() if state == "waits"}
+        actions = self.door.configure(self.now, options)
+        assert not any(isinstance(a, Refuse) for a in actions), "a reload drops nothing that waits"
+        self.perform(actions)
+        assert before <= set(self.state)
+
+    @invariant()
+    @precondition(lambda self: hasattr(self, "door"))
+    def it_is_consistent(self) -> None:
+        waiting = [n for n, state in self.state.items() if state == "waits"]
+        assert self.door.waiting == len(waiting)
+        assert set(self.door.tickets) == set(self.state)
+        # Its memory is that of what is there: a name leaves nothing behind.
+        assert sum(p.open for p in self.door._present.values()) == len(self.state)
+        assert all(p.open > 0 and p.queued >= 0 for p in self.door._present.values())
+        for job_class, window in enumerate(self.door.windows):
+            unplaced = [
+                n for n, s in self.state.items()
+                if s == "in" and self.door.tickets[n].job_class == job_class
+            ]  # fmt: skip
+            assert window.unplaced == len(unplaced)
+            # Work conserving: nobody waits at the door while the module has nothing of the class at hand.
+            waits = any(self.door.tickets[n].job_class == job_class for n in waiting)
+            assert not (waits and window.open), "somebody waits and could go in"
+        queues = {t.queue for t in self.door.tickets.values()}
+        assert sum(q.length for q in queues) == len(waiting)
+        assert sum(q.users for q in queues) == len(self.state)
+        assert set(self.door.rounds.active) == {q for q in queues if q.length}
+
+    def teardown(self) -> None:
+        """Whatever waits gets its answer in bounded time."""
+        if hasattr(self, "door"):
+            self.pass_time(10_000)
+            assert "waits" not in self.state.values()
+
+
+TestWorld = World.TestCase
+TestWorld.settings = settings(
+    max_examples=60, stateful_step_count=60, deadline=None, suppress_health_check=list(HealthCheck),
+    derandomize=True,
+)  # fmt: skip
+
+
+def ticket(number: int, queue: Queue, cost: float, job_class: int = 0) -> Ticket:
+    return Ticket(number, job_class, 0, "", -1, 0, queue, cost, 0, 0)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    weights=st.lists(st.sampled_from([0.5, 1.0, 2.0, 4.0]), min_size=2, max_size=8),
+    costs=st.lists(st.floats(0.1, 3.0), min_size=8, max_size=8),
+)
+def test_shares_keep_to_the_weights_within_the_deficit_bound(weights: list[float], costs: list[float]) -> None:
+    """Queues that never run dry get work in proportion to their weights, whatever their jobs cost."""
+    queues = [Queue(str(i), w) for i, w in enumerate(weights)]
+    rounds = Rounds([0], 0.25, quantum_us=max(costs))
+    number = 0
+
+    def fill(queue: Queue, cost: float) -> None:
+        nonlocal number
+        number += 1
+        rounds.add(0, ticket(number, queue, cost))
+
+    for queue, cost in zip(queues, costs, strict=False):
+        fill(queue, cost)
+        fill(queue, cost)
+    for _ in range(600):
+        taken = rounds.take(0, lambda c: True)
+        assert taken
+        fill(taken.queue, costs[queues.index(taken.queue)])
+    # In every round that is over a queue got its quantum, give or take its largest job and one quantum.
+    for queue, cost in zip(queues, costs, strict=False):
+        quantum = rounds.quantum_us * queue.weight
+        assert abs(queue.served_us - rounds.number * quantum) <= 2 * quantum + cost
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(data=st.data())
+def test_nobody_starves(data: Any) -> None:
+    """A request is let in within as many rounds as its own queue's work before it asks for, and one more."""
+    queues = [Queue(str(i), data.draw(st.sampled_from([0.5, 1.0, 3.0]))) for i in range(5)]
+    rounds = Rounds([1, 0], 0.25, quantum_us=2.0)
+    asked: dict[int, tuple[int, float, Queue]] = {}
+    for number in range(1, 60):
+        queue = data.draw(st.sampled_from(queues))
+        cost = data.draw(st.floats(0.1, 2.0))
+        rounds.add(0, ticket(number, queue, cost, data.draw(st.integers(0, 1))))
+        asked[number] = (rounds.number, queue.work_us, queue)
+        if data.draw(st.booleans()) and (taken := rounds.take(0, lambda c: True)):
+            check(rounds, asked, taken)
+    while taken := rounds.take(0, lambda c: True):
+        check(rounds, asked, taken)
+    assert not rounds.length and not rounds.active
+
+
+def check(rounds: Rounds, asked: dict[int, tuple[int, float, Queue]], taken: Ticket) -> None:
+    since, ahead, queue = asked.pop(taken.number)
+    # What came later to its own queue, of more worth, goes before it: that is its tenant's choice.
+    later = sum(a for n, (_, _, q) in asked.items() if q is queue and n > taken.number for a in [2.0])
+    overtaken = 2.0 * 60 if taken.job_class == 0 else later
+    quantum = 2.0 * queue.weight
+    assert rounds.number - since <= (ahead + overtaken) / quantum + 2
+
+
+@pytest.mark.parametrize("strangers", [1, 4, 16])
+def test_strangers_together_keep_to_their_share(strangers: int) -> None:
+    """Guards against the cheapest flood: a thousand names must not weigh as a thousand tenants."""
+    known = [Queue(f"k{i}") for i in range(3)]
+    strange = [Queue(f"s{i}", strangers=True) for i in range(strangers)]
+    rounds = Rounds([0], 0.25, quantum_us=1.0)
+    for number, queue in enumerate((known + strange) * 400):
+        rounds.add(0, ticket(number, queue, 1.0))
+    got: dict[bool, int] = defaultdict(int)
+    for _ in range(800):
+        taken = rounds.take(0, lambda c: True)
+        assert taken
+        got[taken.queue.strangers] += 1
+    assert 0.2 <= got[True] / 800 <= 0.3
