Bound what runs by the fleet's size, promise by line, and let quiet tenants save up a burst

Cause: with the door bounded by unplaced requests alone, the module always had one more job at hand, so it kept trying workers that were full: half of the jobs waited there, lookups came late and renewals were withdrawn as too late (502). A round also began while a small tenant's lookup was held in the module behind the large one's next renewals.

Rounds begin only when the window as a whole has room. Promises are kept by line (class of a queue), are booked below the rate and go first in their own queue when kept. Four quanta may be saved up.

--- a/robinhill/door/door.py
+++ b/robinhill/door/door.py
@@ -18,17 +18,19 @@
 from robinhill.door.estimate import Costs, Pace
 from robinhill.door.options import DoorOptions
 from robinhill.door.promises import Promise, Promises
-from robinhill.door.queues import Queue, Rounds, Ticket
-from robinhill.door.window import Window
+from robinhill.door.queues import Line, Queue, Rounds, Ticket
+from robinhill.door.window import Windows
 
 HOLD = 1.5  # as the module: how far a job may wait into what its own length adds to its aim
 TARGET = 0.8  # of its patience: who comes back when told finds so much work before it at the most
 PATIENT = 1.25  # of its patience: who keeps to a promise is let wait though the estimate says so much
 SHORTEST_US = 50_000  # told to come back sooner, a caller is back before anything has changed
-SPREAD = 0.1  # told times differ by so much, or all that were refused in one moment return in another
+SPREAD = 0.03  # told times are spread by so much; those of one line follow each other anyway
+BOOKED = 0.75  # of a rate is promised: returns that are fully booked would queue up behind each other
 SWEEP_US = 250_000  # how often jobs that run longer than thought are charged
 LONGEST_EVERY_US = 50_000  # how often the longest queue is looked for when callers are refused
-PRIOR_US = 1_000_000  # waiting after which a queue's own drain rate counts as much as its share
+OVERDUE = 3.0  # of its class's running time, and
+OVERDUE_US = 500_000
 TOP = 10
 
 
@@ -68,6 +70,10 @@
 Action = Admit | Refuse
 
 
+def _always(job_class: int) -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class _Present:
     """What a tenant has here; forgotten with its last request."""
@@ -85,7 +91,7 @@
         self.now = 0
         self.costs = Costs.of(len(settings.classes))
         self.pace = Pace()
-        self.windows = [Window() for _ in settings.classes]
+        self.windows = Windows(settings.classes)
         self.promises = Promises()
         self.tickets: dict[int, Ticket] = {}
         self.refused: Counter[str] = Counter()
@@ -131,7 +137,7 @@
                 meters[entry.network] = made.adopt(self.network_meters.get(entry.network))
         self.network_meters = meters
         if not options.enabled:
-            while self.rounds.length and (ticket := self.rounds.take(self.now, lambda c: True)):
+            while self.rounds.length and (ticket := self.rounds.take(self.now, _always, _always)):
                 self._admit(ticket)
         return self._end()
 
@@ -174,7 +180,7 @@
         if not ask.owed and (refusal := self._limited(ticket, account)):
             self._refuse(ask.number, *refusal)
             return self._end()
-        unhurried = not self.rounds.length and self.windows[ask.job_class].open
+        unhurried = not self.rounds.length and self.windows.roomy(ask.job_class)
         # What the module would not hold is for it to refuse; it does so at once.
         if unhurried or not self.options.enabled or ticket.until_us <= now:
             if promise:
@@ -211,9 +217,9 @@
         ticket = self.tickets.get(number)
         if ticket and ticket.let_in_us and not ticket.placed_us:
             ticket.placed_us = self.now
-            window = self.windows[ticket.job_class]
-            window.unplaced -= 1
-            window.placed(self.now, self.now - ticket.let_in_us, self.rounds.length > 0)
+            self.windows.placed(ticket.job_class)
+            more = self.rounds.length > 0
+            self.windows.of(ticket.job_class).placed(self.now, self.now - ticket.let_in_us, more)
             if not self.s.tells_start:
                 self._run(ticket)
         return self._end()
@@ -224,8 +230,8 @@
         ticket = self.tickets.get(number)
         if ticket and ticket.placed_us and not ticket.began_us:
             self._run(ticket)
-            window, klass = self.windows[ticket.job_class], self.s.classes[ticket.job_class]
-            window.began(self.now, self.now - ticket.placed_us, klass.aim_us // 4)
+            waited, more = self.now - ticket.placed_us, self.rounds.length > 0
+            self.windows.of(ticket.job_class).began(self.now, waited, more)
         return self._end()
 
     def ended(self, now: int, number: int, served: bool) -> list[Action]:
@@ -255,6 +261,8 @@
             for ticket in self.tickets.values():
                 if ticket.began_us and now - ticket.began_us > ticket.cost_us:
                     self._charge(ticket, now - ticket.began_us)
+                if ticket.inside and now - ticket.let_in_us > self._overdue_us(ticket):
+                    self._vacate(ticket)
         return self._end()
 
     @property
@@ -264,7 +272,7 @@
             until, number = self._waits[0]
             ticket = self.tickets.get(number)
             if ticket and not ticket.let_in_us:
-                return min(until, self._swept_us + SWEEP_US)
+                return min(until, max(self.now, self._swept_us + SWEEP_US))
             heappop(self._waits)
         return None
 
@@ -278,6 +286,12 @@
         ticket = self.tickets.get(number)
         return ticket is not None and not ticket.let_in_us
 
+    def _overdue_us(self, ticket: Ticket) -> float:
+        """After so long a job is thought to be lost: whoever ran it may be silent, and others may have
+        room.
+        """
+        return OVERDUE_US + OVERDUE * self.costs.by_class[ticket.job_class]
+
     # The way in
 
     def _begin(self, now: int) -> None:
@@ -290,8 +304,8 @@
         """Let in whose turn it is, as far as the windows allow."""
         if self.rounds.length:
             self.rounds.quantum_us = max(self.costs.by_class)
-            while ticket := self.rounds.take(self.now, lambda c: self.windows[c].open):
-                self.promises.drained(self.now, ticket.queue)
+            while ticket := self.rounds.take(self.now, self.windows.open, self.windows.roomy):
+                self.promises.drained(self.now, ticket.queue.lines[ticket.job_class])
                 self._admit(ticket)
         return self.out
 
@@ -324,7 +338,7 @@
         for _ in range(self.options.hand):
             cards, card = divmod(cards, len(left))
             hand.append(self.strangers[left.pop(card)])
-        return min(hand, key=lambda q: q.work_us + q.promised_us)
+        return min(hand, key=lambda q: q.ahead_us)
 
     def _enter(self, ticket: Ticket, account: Account | None) -> None:
         """It is taken: count it and charge its tenant's limits."""
@@ -352,7 +366,8 @@
             present = self._present[ticket.tenant]
             present.queued = max(0, present.queued - 1)
         ticket.let_in_us = self.now
-        self.windows[ticket.job_class].unplaced += 1
+        self.windows.enter(ticket.job_class)
+        ticket.inside = True
         self.let_in += 1
         self.out.append(Admit(ticket.number))
 
@@ -371,9 +386,10 @@
         if not ticket.let_in_us:
             present.queued -= 1
             self.rounds.remove(self.now, ticket)
-            self.promises.drained(self.now, queue)
+            self.promises.drained(self.now, queue.lines[ticket.job_class])
         elif not ticket.placed_us:
-            self.windows[ticket.job_class].unplaced -= 1
+            self.windows.placed(ticket.job_class)
+        self._vacate(ticket)
         if not present.open:
             del self._present[ticket.tenant]
         if ticket.network >= 0:
@@ -388,6 +404,11 @@
         if served and ran:
             self._learn(ticket, ran)
 
+    def _vacate(self, ticket: Ticket) -> None:
+        if ticket.inside:
+            ticket.inside = False
+            self.windows.leave(ticket.job_class)
+
     def _charge(self, ticket: Ticket, ran_us: int) -> None:
         """Correct what was charged for it to what it has taken."""
         more, ticket.cost_us = ran_us - ticket.cost_us, float(ran_us)
@@ -460,38 +481,42 @@
         """Whether it can't make its time at its queue's present rate; it is promised a time to come back
         then.
         """
-        queue, patience = ticket.queue, ticket.until_us - self.now
-        rate = self._rate(queue)
+        line, patience = ticket.queue.line(ticket.job_class), ticket.until_us - self.now
+        rate = self._rate(line)
         if promise:
             if not self.promises.is_due(self.now, promise):
                 return "early", True, promise.due_us - self.now
             self.promises.keep(promise)
-            if queue.work_us / rate <= patience * PATIENT:
+            if ticket.queue.kept_us / self._queue_rate(ticket.queue) <= patience * PATIENT:
+                ticket.kept = True
                 return None
-        ahead = queue.work_us + queue.promised_us
+        ahead = line.ahead_us
         if ahead / rate <= patience:
             return None
-        own = self._excess(queue)
+        own = self._excess(ticket.queue)
         if own and (account := self.accounts.get(ticket.tenant)):
             account.refused += 1
         wait = self._told(ticket)
-        told = self._cap(wait)
-        self.promises.make(self.now, ticket.mark, ticket.tenant, queue, ticket.cost_us, wait)
-        if told >= wait:
-            self.promises.measure(self.now, queue, wait, ahead - rate * patience * TARGET)
+        self.promises.make(self.now, ticket.mark, ticket.tenant, line, ticket.cost_us, wait)
+        if self._cap(wait) >= wait:
+            self.promises.measure(self.now, line, wait, ahead - rate * patience * TARGET)
         return "time", own, wait
 
     def _told(self, ticket: Ticket) -> int:
-        """When its queue will have come down far enough for a request like it."""
-        queue = ticket.queue
+        """When its line will have come down far enough for a request like it."""
+        line = ticket.queue.line(ticket.job_class)
         patience = self._patience(self.s.classes[ticket.job_class], self.costs.by_class[ticket.job_class])
-        wait = (queue.work_us + queue.promised_us) / self._rate(queue) - patience * TARGET
+        wait = line.ahead_us / (BOOKED * self._rate(line)) - patience * TARGET
         return max(SHORTEST_US, int(wait * (1 + SPREAD * (2 * self.random.random() - 1))))
 
-    def _rate(self, queue: Queue) -> float:
+    def _queue_rate(self, queue: Queue) -> float:
         """Work that goes in from this queue in a unit of time."""
         queue.advance(self.now)
-        return max(1e-3, queue.drain_rate(self.pace.rate * self.rounds.share(queue), PRIOR_US))
+        return max(1e-3, queue.rate(self.pace.rate * self.rounds.share(queue)))
+
+    def _rate(self, line: Line) -> float:
+        """The same of one line: the part of it that its class has had of late."""
+        return self._queue_rate(line.queue) * line.queue.part(line.job_class)
 
     def _excess(self, queue: Queue) -> bool:
         """Whether it is a tenant's own doing that it must wait: no queue is as long, and others are here."""
@@ -529,8 +554,10 @@
             "queued": self.rounds.length,
             "let_in": self.let_in,
             "refused": dict(sorted(self.refused.items())),
-            "window": [int(w.size) for w in self.windows],
-            "unplaced": [w.unplaced for w in self.windows],
+            "window": [int(w.size) for w in self.windows.windows],
+            "places": [int(w.places) for w in self.windows.windows],
+            "inside": [w.inside for w in self.windows.windows],
+            "unplaced": list(self.windows.unplaced),
             "running": self.pace.running,
             "rate": round(self.pace.rate, 2),
             "class_ms": [round(c / 1000, 1) for c in self.costs.by_class],
--- a/robinhill/door/memory.py
+++ b/robinhill/door/memory.py
@@ -36,12 +36,13 @@
         "costs": door.costs.by_class,
         "known": door.costs.known,
         "running": door.pace.smooth,
-        "windows": [w.size for w in door.windows],
+        "windows": [w.size for w in door.windows.windows],
         "start_us": door.accounts.start_us,
         "accounts": [
             {
                 "tenant": a.tenant, "name": a.name, "count": a.count, "error": a.error, "jobs": a.jobs,
                 "ratio": a.ratio, "served_us": a.served_us, "deficit_us": a.queue.deficit_us,
+                "returns": {str(c): line.return_share for c, line in a.queue.lines.items()},
                 "levels": _levels(a.meter),
             }
             for a in door.accounts.by_tenant.values()
@@ -52,9 +53,11 @@
 
 
 def _promise(door: Door, promise: Promise) -> Json:
-    strangers = door.strangers.index(promise.queue) if promise.queue in door.strangers else -1
+    queue = promise.line.queue
+    strangers = door.strangers.index(queue) if queue in door.strangers else -1
     return {
-        "mark": promise.mark, "tenant": promise.tenant, "strangers": strangers, "cost_us": promise.cost_us,
+        "mark": promise.mark, "tenant": promise.tenant, "strangers": strangers,
+        "class": promise.line.job_class, "cost_us": promise.cost_us,
         "told_us": promise.told_us, "wait_us": promise.due_us - promise.told_us,
     }  # fmt: skip
 
@@ -65,8 +68,8 @@
     door.directory = Directory(door.options, door.secret)
     if len(told["costs"]) == len(door.costs.by_class):
         door.costs.by_class, door.costs.known = list(told["costs"]), list(told["known"])
-        for window, size in zip(door.windows, told["windows"], strict=True):
-            window.size = size
+    for window, size in zip(door.windows.windows, told["windows"], strict=False):
+        window.size = size
     door.pace.smooth = told["running"]
     door.accounts.reset(told["start_us"])
     for values in told["accounts"]:
@@ -74,6 +77,8 @@
         for name in ("count", "error", "jobs", "ratio", "served_us"):
             setattr(account, name, values[name])
         account.queue.deficit_us, account.queue.settled_us = min(0.0, values["deficit_us"]), now
+        for job_class, share in values["returns"].items():
+            account.queue.line(int(job_class)).return_share = share
         _set_levels(account.meter, values["levels"])
         door.accounts.restore(account)
     door.repin()
@@ -83,8 +88,8 @@
         queue = _queue(door, values)
         if queue:
             door.promises.make(
-                values["told_us"], values["mark"], values["tenant"], queue, values["cost_us"],
-                values["wait_us"],
+                values["told_us"], values["mark"], values["tenant"], queue.line(values["class"]),
+                values["cost_us"], values["wait_us"],
             )  # fmt: skip
 
 
--- a/robinhill/door/promises.py
+++ b/robinhill/door/promises.py
@@ -6,13 +6,14 @@
 from heapq import heapify, heappop, heappush
 from itertools import chain
 
-from robinhill.door.queues import Queue
+from robinhill.door.queues import Line
 
 MOST = 8_192
 LAPSE_US = 2_000_000  # a caller so long behind its time has lost its place
 EARLY = 0.75  # of the told time: who comes back after this part of it has kept to it
 FACTOR = 2.0  # told over needed time is right within this
-PENDING = 256  # told times measured at once for each queue
+RETURNS_STEP = 1 / 32  # of the share of callers that come back, by line
+PENDING = 256  # told times measured at once for each line
 
 
 @dataclass(slots=True)
@@ -21,7 +22,7 @@
 
     mark: int
     tenant: int
-    queue: Queue
+    line: Line
     cost_us: float
     told_us: int  # when
     due_us: int
@@ -29,7 +30,7 @@
 
 @dataclass(slots=True)
 class _Told:
-    """A told time under measurement: needed is the time until the queue has let ``target_us`` of work in."""
+    """A told time under measurement: needed is the time until ``target_us`` of the line's work has gone."""
 
     told_us: int
     wait_us: int
@@ -47,19 +48,20 @@
     long: int = 0
     _lapses: list[tuple[int, int, Promise]] = field(default_factory=list)
     _serial: int = 0
-    _told: dict[Queue, deque[_Told]] = field(default_factory=dict)
+    _told: dict[Line, deque[_Told]] = field(default_factory=dict)
 
     def make(
-        self, now: int, mark: int, tenant: int, queue: Queue, cost_us: float, wait_us: int
+        self, now: int, mark: int, tenant: int, line: Line, cost_us: float, wait_us: int
     ) -> None:
         """Note what a caller is told; without room the caller is told all the same, with no place kept."""
         if self.length >= MOST:
             return
-        promise = Promise(mark, tenant, queue, cost_us, now, now + wait_us)
+        promise = Promise(mark, tenant, line, cost_us, now, now + wait_us)
         self.by_mark.setdefault(mark, deque()).append(promise)
         self.length += 1
         self._serial += 1
-        queue.promised_us += cost_us
+        line.promised_us += cost_us
+        line.queue.promises += 1
         heappush(self._lapses, (promise.due_us + LAPSE_US, self._serial, promise))
 
     def held(self) -> Iterator[Promise]:
@@ -74,15 +76,19 @@
     def is_due(self, now: int, promise: Promise) -> bool:
         return now >= promise.told_us + (promise.due_us - promise.told_us) * EARLY
 
-    def keep(self, promise: Promise) -> None:
+    def keep(self, promise: Promise, *, came: bool = True) -> None:
         """The caller has come for it, or it has lapsed."""
         held = self.by_mark[promise.mark]
         held.remove(promise)
         if not held:
             del self.by_mark[promise.mark]
         self.length -= 1
-        queue = promise.queue
-        queue.promised_us = max(0.0, queue.promised_us - promise.cost_us)
+        line = promise.line
+        line.queue.promises -= 1
+        line.promised_us = max(0.0, line.promised_us - promise.cost_us)
+        if not came:
+            line.gone_us += promise.cost_us * line.return_share
+        line.return_share += (came - line.return_share) * RETURNS_STEP
         promise.cost_us = -1.0  # what is on the heap of it is void
 
     def lapse(self, now: int) -> None:
@@ -90,7 +96,7 @@
         while self._lapses and (self._lapses[0][2].cost_us < 0 or self._lapses[0][0] <= now):
             promise = heappop(self._lapses)[2]
             if promise.cost_us >= 0:
-                self.keep(promise)
+                self.keep(promise, came=False)
         if len(self._lapses) > 2 * MOST:
             self._lapses = [x for x in self._lapses if x[2].cost_us >= 0]
             heapify(self._lapses)
@@ -102,22 +108,22 @@
 
     # How true they were
 
-    def measure(self, now: int, queue: Queue, wait_us: int, ahead_us: float) -> None:
-        """A told time is to be compared with when the queue has let so much work in."""
-        told = self._told.setdefault(queue, deque())
+    def measure(self, now: int, line: Line, wait_us: int, ahead_us: float) -> None:
+        """A told time is to be compared with when so much of the work before it has gone."""
+        told = self._told.setdefault(line, deque())
         if len(told) < PENDING:
-            told.append(_Told(now, wait_us, queue.served_us + ahead_us))
+            told.append(_Told(now, wait_us, line.gone_us + ahead_us))
 
-    def drained(self, now: int, queue: Queue) -> None:
-        """A queue has let something in: which told times' needs have come about."""
-        told = self._told.get(queue)
+    def drained(self, now: int, line: Line) -> None:
+        """A line has come down: which told times' needs have come about."""
+        told = self._told.get(line)
         if told is None:
             return
-        while told and (queue.served_us >= told[0].target_us or not queue.length):
+        while told and (line.gone_us >= told[0].target_us or line.ahead_us <= 0):
             this = told.popleft()
             self._judge(this.wait_us, now - this.told_us)
         if not told:
-            del self._told[queue]
+            del self._told[line]
 
     def _judge(self, told_us: int, needed_us: int) -> None:
         if told_us > FACTOR * max(1, needed_us):
--- a/robinhill/door/queues.py
+++ b/robinhill/door/queues.py
@@ -12,7 +12,10 @@
 from math import ceil, exp
 
 FORGET_US = 10_000_000  # a debt counts 1/e after this: a heavy job is not held against its tenant for ever
-DRAIN_US = 3_000_000  # over this a queue's drain rate is smoothed
+DRAIN_US = 3_000_000  # over this rates are smoothed
+PRIOR_US = 1_000_000  # waiting after which a queue's own rate counts as much as its share of the fleet
+BURST = 4.0  # quanta that a queue may save up while it asks for less than its share
+LEAST = 0.05  # of its queue's rate: what a line of little worth counts on beside those that go first
 
 
 @dataclass(slots=True, eq=False)
@@ -32,6 +35,27 @@
     let_in_us: int = 0  # 0: it waits at the door
     placed_us: int = 0  # 0: no attempt of it is out yet
     began_us: int = 0  # 0: not that we know of
+    kept: bool = False  # it has come back when it was told
+    inside: bool = False  # it takes one of the window's places
+
+
+@dataclass(slots=True, eq=False)
+class Line:
+    """The requests of one class in a queue. What is of more worth goes first, so lines drain unalike."""
+
+    queue: "Queue"
+    job_class: int
+    tickets: OrderedDict[int, Ticket] = field(default_factory=OrderedDict)
+    work_us: float = 0.0  # of those that wait
+    promised_us: float = 0.0  # of those told to come back
+    return_share: float = 1.0  # how many of these do come back
+    drained_us: float = 0.0  # work let in, decayed
+    gone_us: float = 0.0
+
+    @property
+    def ahead_us(self) -> float:
+        """Work before a request that comes now: what waits, and what will come back before it."""
+        return self.work_us + self.promised_us * self.return_share
 
 
 @dataclass(slots=True, eq=False)
@@ -41,34 +65,65 @@
     label: str
     weight: float = 1.0
     strangers: bool = False
-    lines: dict[int, OrderedDict[int, Ticket]] = field(default_factory=dict)  # by class
+    lines: dict[int, Line] = field(default_factory=dict)  # by class
+    kept: OrderedDict[int, Ticket] = field(default_factory=OrderedDict)  # who has come back when told
+    kept_us: float = 0.0  # their work
     length: int = 0
     work_us: float = 0.0  # of those that wait
-    promised_us: float = 0.0  # of those told to come back
     deficit_us: float = 0.0  # what it may still have let in this round; below 0: a debt
     round: int = 0  # when that was last brought up to date
     settled_us: int = 0
     users: int = 0  # requests that wait here or were let in from here and have no answer yet
-    drained_us: float = 0.0  # work let in while it waited, decayed
+    promises: int = 0  # open ones
+    served_us: float = 0.0  # work let in since the start
+
+    drained_us: float = 0.0  # work let in while something waited, decayed
     waited_us: float = 0.0  # the time that took, decayed alike
-    drained_at_us: int = 0
-    served_us: float = 0.0  # work let in since the start: promises are measured against it
+    at_us: int = 0
 
     @property
     def busy(self) -> bool:
-        return self.users > 0 or self.promised_us > 0
+        return self.users > 0 or self.promises > 0
 
     def advance(self, now: int) -> None:
-        """Let the drain rate's memory fade, and time run if something waits."""
-        passed = now - self.drained_at_us
-        self.drained_at_us = now
-        if passed > 0 and self.length:
-            fade = exp(-passed / DRAIN_US)
-            self.drained_us, self.waited_us = self.drained_us * fade, self.waited_us * fade + passed
+        """Let the memory of rates fade, and time run if something waits."""
+        passed = now - self.at_us
+        self.at_us = now
+        if passed <= 0:
+            return
+        fade = exp(-passed / DRAIN_US)
+        self.drained_us *= fade
+        self.waited_us = self.waited_us * fade + passed * bool(self.length)
+        for line in self.lines.values():
+            line.drained_us *= fade
 
-    def drain_rate(self, prior: float, weigh_us: float) -> float:
-        """Work let in from here in a time of waiting; leaning on what its weight would give it."""
-        return (self.drained_us + prior * weigh_us) / (self.waited_us + weigh_us)
+    def rate(self, prior: float) -> float:
+        """Work let in from here in a unit of time of waiting; leaning on the prior while that was short."""
+        return (self.drained_us + prior * PRIOR_US) / (self.waited_us + PRIOR_US)
+
+    def part(self, job_class: int) -> float:
+        """The part of what is let in from here that is this class's: all, where no other has work ahead."""
+        others = sum(
+            line.drained_us for line in self.lines.values() if line.job_class != job_class and line.ahead_us
+        )
+        if not others:
+            return 1.0
+        own = self.line(job_class).drained_us
+        return max(LEAST, own / (own + others))
+
+    def line(self, job_class: int) -> Line:
+        if (line := self.lines.get(job_class)) is None:
+            line = self.lines[job_class] = Line(self, job_class)
+        return line
+
+    def waits(self, job_class: int) -> bool:
+        """Whether a request of this class waits here."""
+        line = self.lines.get(job_class)
+        return line is not None and len(line.tickets) > 0
+
+    @property
+    def ahead_us(self) -> float:
+        return sum(line.ahead_us for line in self.lines.values())
 
 
 @dataclass(slots=True, eq=False)
@@ -109,17 +164,18 @@
             return queue.weight / total if total else 1.0
         return (self.newcomers if known else 1.0) / max(1, strange)
 
-    def add(self, now: int, ticket: Ticket, *, ahead: bool = False) -> None:
-        """Put a request at the end of its line; or at its head, if it was there before."""
+    def add(self, now: int, ticket: Ticket) -> None:
+        """Put a request at the end of its line."""
         queue = ticket.queue
         if not queue.length:
             self._activate(now, queue)
-        line = queue.lines.get(ticket.job_class)
-        if line is None:
-            line = queue.lines[ticket.job_class] = OrderedDict()
-        line[ticket.number] = ticket
-        if ahead:
-            line.move_to_end(ticket.number, last=False)
+        line = queue.line(ticket.job_class)
+        queue.advance(now)
+        line.tickets[ticket.number] = ticket
+        line.work_us += ticket.cost_us
+        if ticket.kept:
+            queue.kept[ticket.number] = ticket
+            queue.kept_us += ticket.cost_us
         queue.length, queue.work_us = queue.length + 1, queue.work_us + ticket.cost_us
         self.length += 1
         if queue not in self._spent[ticket.job_class]:
@@ -129,12 +185,15 @@
         """Take a request out: it goes in, or its time is up, or its client has left."""
         queue = ticket.queue
         line = queue.lines[ticket.job_class]
-        del line[ticket.number]
         queue.advance(now)
+        del line.tickets[ticket.number]
+        if queue.kept.pop(ticket.number, None):
+            queue.kept_us = max(0.0, queue.kept_us - ticket.cost_us) if queue.kept else 0.0
+        line.gone_us += ticket.cost_us
+        line.work_us = max(0.0, line.work_us - ticket.cost_us) if line.tickets else 0.0
         queue.length, queue.work_us = queue.length - 1, max(0.0, queue.work_us - ticket.cost_us)
         self.length -= 1
-        if not line:
-            del queue.lines[ticket.job_class]
+        if not line.tickets:
             self._ready[ticket.job_class].pop(queue, None)
             self._spent[ticket.job_class].pop(queue, None)
         if not queue.length:
@@ -142,29 +201,44 @@
             del self.active[queue]
             self._count(queue, -1)
 
-    def take(self, now: int, is_open: Callable[[int], bool]) -> Ticket | None:
-        """The request whose turn it is among the classes that are open, taken out and charged to its
-        queue.
+    def take(
+        self, now: int, is_open: Callable[[int], bool], is_roomy: Callable[[int], bool]
+    ) -> Ticket | None:
+        """The request whose turn it is, taken out and charged to its queue.
+
+        ``is_open`` tells whether a class may go in within this round, ``is_roomy`` whether another round may
+        begin for it.
         """
         while True:
             for job_class in self.order:
                 if self._ready[job_class] and is_open(job_class) and (queue := self._next(job_class)):
-                    ticket = next(iter(queue.lines[job_class].values()))
+                    ticket = self._head(queue, job_class, is_open)
                     queue.deficit_us -= ticket.cost_us
                     queue.drained_us += ticket.cost_us
+                    queue.lines[ticket.job_class].drained_us += ticket.cost_us
                     queue.served_us += ticket.cost_us
                     self._ready[job_class].move_to_end(queue)
                     self.remove(now, ticket)
                     return ticket
-            waiting = [q for c in self.order if self._spent[c] and is_open(c) for q in self._spent[c]]
+            waiting = [q for c in self.order if self._spent[c] and is_roomy(c) for q in self._spent[c]]
             if not waiting:
                 return None
             self._turn(waiting)
 
+    @staticmethod
+    def _head(queue: Queue, job_class: int, is_open: Callable[[int], bool]) -> Ticket:
+        """What goes when it is a queue's turn for a class: its tenant's word is kept first, of whatever
+        class.
+        """
+        kept = next(iter(queue.kept.values()), None)
+        if kept and is_open(kept.job_class):
+            return kept
+        return next(iter(queue.lines[job_class].tickets.values()))
+
     def newest(self, queue: Queue) -> Ticket:
         """The request that came last to a queue, of its class of least worth."""
-        job_class = next(c for c in reversed(self.order) if c in queue.lines)
-        return next(reversed(queue.lines[job_class].values()))
+        job_class = next(c for c in reversed(self.order) if queue.waits(c))
+        return next(reversed(queue.lines[job_class].tickets.values()))
 
     def longest(self) -> Queue:
         """The queue with the most work for its weight: who has to give way where there is no room."""
@@ -192,8 +266,8 @@
         self.number += rounds
         for queue in self.active:
             quantum = self._quantum(queue)
-            # No credit is saved up: not by a queue whose classes are closed, nor by one that idles.
-            queue.deficit_us = min(quantum, queue.deficit_us + rounds * quantum)
+            # Saved up by a queue whose classes are closed; by the ones that idle, when they wait again.
+            queue.deficit_us = min(BURST * quantum, queue.deficit_us + rounds * quantum)
         for job_class in self.order:
             ready, spent = self._ready[job_class], self._spent[job_class]
             for queue in [q for q in spent if q.deficit_us > 0]:
@@ -204,15 +278,14 @@
         return max(1e-3, self.quantum_us * self.weight(queue))
 
     def _activate(self, now: int, queue: Queue) -> None:
-        """It waits again: rounds and time since have paid its debt off, as far as they go."""
-        queue.advance(now)
+        """It waits again: rounds since are its credit, up to a burst, and with time pay its debt off."""
         self.active[queue] = None
         self._count(queue, 1)
         if queue.deficit_us < 0:
             queue.deficit_us *= exp(min(0, queue.settled_us - now) / FORGET_US)
         quantum = self._quantum(queue)
         passed = self.number - queue.round
-        queue.deficit_us = min(quantum, queue.deficit_us + passed * quantum)
+        queue.deficit_us = min(BURST * quantum, queue.deficit_us + passed * quantum)
         queue.round = self.number
 
     def _count(self, queue: Queue, sign: int) -> None:
--- a/robinhill/net/doorkeeper.py
+++ b/robinhill/net/doorkeeper.py
@@ -260,6 +260,6 @@
         """The door's figures as they are now."""
         shown = {"enabled": self.door.options.enabled} | self.door.figures()
         names = self._classes
-        for key in ("window", "unplaced", "class_ms"):
+        for key in ("unplaced", "class_ms"):
             shown[key] = dict(zip(names, shown[key], strict=True))
         return messages.figures(shown)
--- a/robinhill/standin/discovery.py
+++ b/robinhill/standin/discovery.py
@@ -96,6 +96,8 @@
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(EMPTY_EVERY_S):
                         line = await watch.get()
+        except ConnectionError:
+            pass  # the scheduler has left
         finally:
             self._watches.discard(watch)
         return response
