Add the model: fleets in simulated time, paired comparisons, recordings and a loopback twin

Need: staff want to know whether a change helps before they make it.

Change: robinhill/model/ plays the real module and door on a modelled fleet, compares two sides on paired seeds with planned looks and BCa intervals, and speaks to other revisions over the simulator's wire. robinhill/record/ writes what passes in checksummed frames off the loop. Mailboxes are emptied by a call of the event loop and not by a task that waits on a queue. The door judges starts late at 20 ms beyond the quickest.

--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -24,8 +24,8 @@
 from robinhill.door import Admit, Ask, Door, DoorOptions
 from robinhill.standin.client import REFUSALS, Asked, Clients, Tenant, served_worth
 from robinhill.standin.program import Town, town
-from robinhill.standin.rules import broken
 from robinhill.standin.site import Site
+from robinhill.witness.rules import broken
 
 Json = dict[str, Any]
 ON: Json = {"door": {"enabled": True}}
--- a/robinhill/commands/__init__.py
+++ b/robinhill/commands/__init__.py
@@ -17,6 +17,7 @@
     "--listen": ("GW_LISTEN", "host:port for clients and call-backs"),
     "--discovery": ("GW_DISCOVERY", "host:port of discovery"),
     "--ops": ("GW_OPS", "host:port for operators"),
+    "--record": ("GW_RECORD", "folder for a recording of what passes"),
     "--socket-fd": ("GW_SOCKET_FD", "descriptor of an inherited listening socket"),
 }
 FAULTY = 2  # exit code for a faulty configuration or command line
@@ -89,6 +90,65 @@
     context.exit(show(seconds, workers, operator))
 
 
+@cli.group()
+def model() -> None:
+    """A model of the fleet, on which settings and versions are compared."""
+
+
+@model.command()
+@click.argument("source")
+@click.option("--kinds", default="clubs", show_default=True, help="situation whose classes a recording has")
+@click.pass_context
+def describe(context: click.Context, source: str, kinds: str) -> None:
+    """Print a situation, or fit a description to a recording (a folder or file)."""
+    from robinhill.commands import modelling as commands
+
+    context.exit(commands.guarded(commands.describe, source, kinds))
+
+
+@model.command("run")
+@click.argument("situation")
+@click.option("--side", default="this", show_default=True, help="settings file, operators' file or revision")
+@click.option("--seed", default=1, show_default=True)
+@click.pass_context
+def run_model(context: click.Context, situation: str, side: str, seed: int) -> None:
+    """Play one run on a SITUATION: a shipped one (clubs, clubs-silent, ...) or a description's file."""
+    from robinhill.commands import modelling as commands
+
+    context.exit(commands.guarded(commands.run, situation, side, seed))
+
+
+def _percent(_: click.Context, __: click.Parameter, text: str) -> float:
+    try:
+        value = float(text.removesuffix("%")) / (100 if text.endswith("%") else 1)
+    except ValueError:
+        raise click.BadParameter("must be a share, as 0.02 or 2%") from None
+    if not 0 < value < 1:
+        raise click.BadParameter("must lie between 0 and 1")
+    return value
+
+
+@model.command()
+@click.argument("a")
+@click.argument("b")
+@click.option("--on", default="clubs-all", show_default=True, help="situation: a shipped one or a file")
+@click.option("--trace", type=click.Path(exists=True), help="recorded traffic in place of drawn")
+@click.option(
+    "--until", default="2%", show_default=True, callback=_percent, help="how well to know the difference"
+)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--processes", type=click.IntRange(1, 256), help="default: one a core")
+@click.option("--json", "json_path", type=click.Path(dir_okay=False), help="write the result there")
+@click.option("--html", "html_path", type=click.Path(dir_okay=False), help="write a report with plots there")
+@click.pass_context
+def compare(context: click.Context, /, **options: Any) -> None:
+    """Compare side B with side A: `this`, settings files, operators' files, git revisions, joined by `+`."""
+    from robinhill.commands import modelling as commands
+
+    names = ("a", "b", "on", "trace", "until", "seed", "processes", "json_path", "html_path")
+    context.exit(commands.guarded(commands.compare_sides, *(options[name] for name in names)))
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """The exit code: 0 after a drain, 1 after an actor's death, 2 for a faulty configuration or command."""
     try:
@@ -99,5 +159,3 @@
     except click.Abort:
         return 130
     return result if isinstance(result, int) else 0
-
-
--- a/robinhill/commands/demo.py
+++ b/robinhill/commands/demo.py
@@ -15,8 +15,8 @@
 from robinhill import config
 from robinhill.standin.client import Asked, Clients, Tenant, served_worth
 from robinhill.standin.program import Town, town
-from robinhill.standin.rules import broken
 from robinhill.standin.site import Site
+from robinhill.witness.rules import broken
 
 Json = dict[str, Any]
 REFRESH_S = 1.0
--- /dev/null
+++ b/robinhill/commands/modelling.py
@@ -0,0 +1,189 @@
+"""`robinhill model`: describe traffic, play a situation, compare two sides on one."""
+
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+
+import click
+import msgspec
+import orjson
+
+from robinhill import config
+from robinhill.model import report, sites
+from robinhill.model.compare import Comparison, Failed, Version, compare, play
+from robinhill.model.describe import Description, DescriptionError, read, write
+from robinhill.model.recorded import load
+from robinhill.model.trace import Trace, draw, fit
+from robinhill.record.frames import RecordingError
+
+DISAGREES = 3  # exit code where a side failed, or loopback disagrees with the model
+FAULTY = 2
+ROOT = Path(__file__).parent.parent.parent
+
+
+def situation(name: str) -> Description:
+    """A shipped situation by its name, or a description from a file."""
+    if Path(name).exists():
+        return read(Path(name))
+    try:
+        return sites.site(name)
+    except KeyError:
+        known = ", ".join(sites.names())
+        raise DescriptionError(f"{name}: neither a file nor one of {known}") from None
+
+
+@contextmanager
+def version(words: str) -> Iterator[Version]:
+    """A side: `this`, a file (an operators' file, or {"settings", "clients", "door"}), a git revision, or
+    several of them joined by `+`. A revision is checked out beside this tree for as long as it is needed."""
+    merged: dict[str, object] = {"name": words}
+    with ExitStack() as stack:
+        for word in words.split("+"):
+            if word == "this":
+                continue
+            if Path(word).exists():
+                merged |= _from_file(Path(word))
+            else:
+                merged["root"] = stack.enter_context(_checked_out(word))
+        yield msgspec.convert(merged, Version)
+
+
+def _from_file(path: Path) -> dict[str, object]:
+    try:
+        document = orjson.loads(path.read_bytes())
+    except orjson.JSONDecodeError as e:
+        raise DescriptionError(f"{path}: is not JSON: {e}") from e
+    if isinstance(document, dict) and set(document) <= {"log", "door"} and "door" in document:
+        return {"door": config.read_operator(str(path)).door}
+    try:
+        found = msgspec.convert({"name": str(path), **document}, Version)
+    except (msgspec.ValidationError, TypeError) as e:
+        raise DescriptionError(f"{path}: {e}") from e
+    return {k: v for k, v in msgspec.structs.asdict(found).items() if k != "name" and v}
+
+
+@contextmanager
+def _checked_out(revision: str) -> Iterator[str]:
+    with tempfile.TemporaryDirectory(prefix="robinhill-model-") as folder:
+        tree = str(Path(folder) / "tree")
+        added = subprocess.run(
+            ["git", "worktree", "add", "--detach", tree, revision],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if added.returncode:
+            raise DescriptionError(
+                f"{revision}: no file and no revision: {added.stderr.strip().splitlines()[-1]}"
+            )
+        try:
+            yield tree
+        finally:
+            subprocess.run(
+                ["git", "worktree", "remove", "--force", tree], cwd=ROOT, capture_output=True, check=False
+            )
+
+
+def describe(source: str, kinds_of: str) -> int:
+    """What a trace or situation holds, and for a recording the description that fits it."""
+    if Path(source).exists() and not source.endswith(".json"):
+        base = situation(kinds_of)
+        trace = load(Path(source), base.traffic.kinds)
+        for note in trace.repairs:
+            click.echo(f"repaired: {note}", err=True)
+        traffic = fit(trace, base.traffic.kinds)
+        description = msgspec.structs.replace(
+            base, name=Path(source).name, traffic=traffic, seconds=trace.seconds + 1, troubles=(), warm_s=0.0
+        )
+    else:
+        description = situation(source)
+    click.echo(write(description).decode(), nl=False)
+    return 0
+
+
+def run(name: str, words: str, seed: int) -> int:
+    """One run of a side on a situation."""
+    description = situation(name)
+    with version(words) as side:
+        begun = time.perf_counter()
+        result = play(description, side, seed)
+    if isinstance(result, Failed):
+        click.echo(f"{result.side} failed on seed {result.seed}: {result.why}")
+        return DISAGREES
+    took = time.perf_counter() - begun
+    click.echo(f"{description.name}, seed {seed}: {result.share:.3f} of the worth served in time")
+    for kind, (wanted, served) in result.by_kind.items():
+        click.echo(f"  {kind:18} {served / wanted if wanted else 1.0:.3f}")
+    click.echo(f"  worst 10 s         {result.worst_window:.3f}")
+    click.echo(f"  requests {result.firsts}, tries {result.tries}, crossings {result.crossings}")
+    refused = ", ".join(f"{k} {v}" for k, v in result.refused.items()) or "none"
+    click.echo(f"  refusals: {refused}")
+    click.echo(
+        f"  {description.seconds / took:.0f} simulated seconds a second, {result.steps / took:,.0f} events"
+    )
+    return 0
+
+
+def compare_sides(
+    a: str,
+    b: str,
+    on: str,
+    trace_path: str | None,
+    until: float,
+    seed: int,
+    processes: int | None,
+    json_path: str | None,
+    html_path: str | None,
+) -> int:
+    """Compare, print the table, and write what was asked for; 3 where a side failed."""
+    description = situation(on)
+    trace: Trace | None = None
+    if trace_path:
+        trace = load(Path(trace_path), description.traffic.kinds)
+        for note in trace.repairs:
+            click.echo(f"repaired: {note}", err=True)
+        description = msgspec.structs.replace(description, seconds=trace.seconds + 1)
+
+    def progress(pairs: int, words: str) -> None:
+        if sys.stderr.isatty():
+            click.echo(f"\r{pairs} pairs, difference so far {words} ", nl=False, err=True)
+
+    with version(a) as first, version(b) as second:
+        done: Comparison = compare(
+            description,
+            first,
+            second,
+            until=until,
+            seed=seed,
+            trace=trace,
+            processes=processes,
+            progress=progress,
+        )
+    if sys.stderr.isatty():
+        click.echo("", err=True)
+    click.echo(report.table(done))
+    if json_path:
+        Path(json_path).write_bytes(report.as_json(done))
+    if html_path:
+        Path(html_path).write_text(report.as_html(done))
+    return DISAGREES if done.failed else 0
+
+
+def draw_trace(name: str, seed: int) -> Trace:
+    return draw(situation(name), seed)
+
+
+def guarded(call: object, *arguments: object) -> int:
+    """The exit code of a command; a faulty description, trace or file is one line and 2."""
+    assert callable(call)
+    try:
+        code: int = call(*arguments)
+    except (DescriptionError, RecordingError, config.ConfigError) as e:
+        click.echo(f"robinhill: {e}", err=True)
+        return FAULTY
+    return code
--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -21,6 +21,7 @@
 from robinhill.door.options import DoorOptions
 from robinhill.net import messages
 from robinhill.net.logs import LogOptions
+from robinhill.record.options import RecordOptions
 from robinhill.settings import read_settings
 
 DEFAULT_SOCKETS = 1024
@@ -66,6 +67,7 @@
 
     log: LogOptions = LogOptions()
     door: DoorOptions = DoorOptions()
+    record: RecordOptions = RecordOptions()
 
 
 @dataclass(slots=True, frozen=True)
@@ -127,10 +129,19 @@
         classes=tuple(c["name"] for c in options["classes"]),
         zones=_names(options.get("areas", []), "settings.areas"),
         machine_types=_names(options.get("shapes", []), "settings.shapes"),
-        operator=read_operator(env["GW_OPERATOR"]) if env.get("GW_OPERATOR") else None,
+        operator=_operator(env),
     )
 
 
+def _operator(env: Mapping[str, str]) -> OperatorFile | None:
+    """The operators' file, with the folder that the command line names for a recording."""
+    operator = read_operator(env["GW_OPERATOR"]) if env.get("GW_OPERATOR") else None
+    if folder := env.get("GW_RECORD"):
+        given = operator or OperatorFile()
+        return msgspec.structs.replace(given, record=msgspec.structs.replace(given.record, folder=folder))
+    return operator
+
+
 def read_operator(path: str) -> OperatorFile:
     """The operators' file, checked; a ConfigError names the file and the path of the faulty key."""
     try:
--- a/robinhill/door/callers.py
+++ b/robinhill/door/callers.py
@@ -9,6 +9,7 @@
 from robinhill.door.options import DoorOptions, Network
 
 SECRET_BYTES = 16
+REMEMBERED = 4_096  # addresses; some 1 MB
 UNKNOWN = "unknown"  # a caller without a readable address
 
 
@@ -37,6 +38,7 @@
         self.options = options
         self.secret = secret
         self._v4, self._v6 = PyTricia(32), PyTricia(128)
+        self._located: dict[str | None, tuple[int, str]] = {}  # of late, as the same callers come again
         for number, entry in enumerate(options.networks):
             network = ipaddress.ip_network(entry.network)
             (self._v4 if network.version == 4 else self._v6).insert(str(network), number)
@@ -54,7 +56,11 @@
 
         Raises BadNameError for a name that is empty, too long or not printable.
         """
-        number, prefix = self._locate(address)
+        if (located := self._located.get(address)) is None:
+            if len(self._located) >= REMEMBERED:
+                self._located.clear()
+            located = self._located[address] = self._locate(address)
+        number, prefix = located
         if header is not None:
             if not (0 < len(header) <= 64 and header.isprintable()):
                 raise BadNameError(f"{self.options.tenant_header} must be 1 to 64 printable characters")
--- a/robinhill/door/promises.py
+++ b/robinhill/door/promises.py
@@ -50,9 +50,7 @@
     _serial: int = 0
     _told: dict[Line, deque[_Told]] = field(default_factory=dict)
 
-    def make(
-        self, now: int, mark: int, tenant: int, line: Line, cost_us: float, wait_us: int
-    ) -> None:
+    def make(self, now: int, mark: int, tenant: int, line: Line, cost_us: float, wait_us: int) -> None:
         """Note what a caller is told; without room the caller is told all the same, with no place kept."""
         if self.length >= MOST:
             return
--- a/robinhill/door/window.py
+++ b/robinhill/door/window.py
@@ -13,17 +13,16 @@
 SHRINK = 2 / 3
 SHRINK_EVERY_US = 50_000  # what was let in together and had to wait is one sign, not many
 PLACES = 64.0  # jobs inside at first: more than a small fleet can run, and soon corrected
-# Places that a start at once adds, and that a wait takes away: about one job in six finds its worker full
-# then.
+# Places that a start at once adds, and that a wait takes away: about one job in six finds its worker full.
 STEP = 0.1
 LESS = 0.5
 SLACK = 1.25
-# without a job that waits for so long, places grow faster, twice as fast after each half of it
-# A job has waited at its worker if it began so much later than the quickest do: by this, or a part of its own
-# length. The way there and back takes up to 40 ms between data centres.
-LATE_US = 40_000
+# A job has waited at its worker if it began so much later than the quickest do: by this, or by a part of its
+# own length. Jobs so short that the way to another data centre matters should not go there.
+LATE_US = 20_000
 LATE_PART = 1 / 8
 BASE_STEP = 0.02
+# Without a job that waits for so long places grow faster, twice as fast after each half of it.
 CALM_US = 500_000
 
 
@@ -33,7 +32,7 @@
 
     The first grows by one with a job that finds room at once and falls by a third when one has to wait in the
     module. The second follows the fleet's size: a job that starts at once while all places are taken adds a
-    part of a place, one that waits at its worker takes a whole one off what is inside.
+    part of a place, one that waits at its worker takes half a one.
     """
 
     size: float = FIRST
--- a/robinhill/net/actor.py
+++ b/robinhill/net/actor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Coroutine
 from typing import Any, Generic, TypeVar
 
@@ -32,9 +33,13 @@
         self._tasks.discard(task)
         if task.cancelled() or (error := task.exception()) is None:
             return
-        log.critical("actor_died", exc_info=error, extra={"actor": task.get_name()})
+        self.fail(task.get_name(), error)
+
+    def fail(self, name: str, error: BaseException) -> None:
+        """An actor or task has died of this: the program ends."""
+        log.critical("actor_died", exc_info=error, extra={"actor": name})
         if not self.failed.done():
-            self.failed.set_exception(ActorDiedError(task.get_name()))
+            self.failed.set_exception(ActorDiedError(name))
 
     async def close(self) -> None:
         """Cancel what still runs and wait for its end."""
@@ -45,28 +50,46 @@
 
 
 class Actor(Generic[Message]):
-    """Handles the messages of its mailbox one after another; nothing else touches its state."""
+    """Handles the messages of its mailbox one after another; nothing else touches its state.
+
+    The mailbox is emptied by a call of the event loop's and not by a task that waits on a queue: waking such
+    a task costs several times as much as handling a message, and a request passes ten mailboxes.
+    """
 
     def __init__(self, name: str, supervisor: Supervisor) -> None:
         self.name = name
         self.supervisor = supervisor
-        self._mailbox: asyncio.Queue[Message] = asyncio.Queue()
-        self._task: asyncio.Task[Any] | None = None
+        self._mailbox: deque[Message] = deque()
+        self._loop = asyncio.get_running_loop()
+        self._alive = False
+        self._scheduled = False  # the loop will empty the mailbox
 
     def start(self) -> None:
-        self._task = self.supervisor.spawn(self._run(), self.name)
+        self._alive = True
+        if self._mailbox:
+            self._schedule()
 
     def stop(self) -> None:
-        if self._task:
-            self._task.cancel()
+        self._alive = False
 
     def tell(self, message: Message) -> None:
         """Put a message into the mailbox; never waits."""
-        self._mailbox.put_nowait(message)
-
-    async def _run(self) -> None:
-        while True:
-            self.receive(await self._mailbox.get())
+        self._mailbox.append(message)
+        if self._alive and not self._scheduled:
+            self._schedule()
+
+    def _schedule(self) -> None:
+        self._scheduled = True
+        self._loop.call_soon(self._empty)
+
+    def _empty(self) -> None:
+        self._scheduled = False
+        try:
+            while self._mailbox and self._alive:
+                self.receive(self._mailbox.popleft())
+        except Exception as error:  # whatever it is, the program must not go on without this actor
+            self._alive = False
+            self.supervisor.fail(self.name, error)
 
     def receive(self, message: Message) -> None:
         raise NotImplementedError
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -17,6 +17,7 @@
 from robinhill.net.figures import Figures
 from robinhill.net.messages import DONE, Answer, Destination, DestinationList, JobEvent, JobRequest, Lifecycle
 from robinhill.net.state import State
+from robinhill.net.tape import Tape
 
 log = logging.getLogger(__name__)
 
@@ -121,6 +122,7 @@
     reply: asyncio.Future[Answer]
     owed: bool = True
     out: int = 0  # attempts that are out
+    began_us: int = 0  # when the attempt that is out began to run; 0: not that we know of
     endpoints: list[str] = field(default_factory=list)  # of each attempt so far
     endings: list[str] = field(default_factory=list)  # what became of each that is over, for the log
     returned: list[str] = field(default_factory=list)  # endpoints that handed it back
@@ -154,6 +156,7 @@
         self.moving: dict[str, asyncio.Event] = {}
         self.elsewhere: Callable[[JobEvent], None] = lambda event: None  # brings such an event there
         self.door: Callable[[Placed | Began], None] | None = None  # hears what becomes of requests
+        self.tape: Tape | None = None  # records what passes
         self.listed_once = asyncio.Event()  # discovery has answered, or failed to
         self.destinations: dict[str, Destination] = {}
         self.endpoints: dict[str, ep.Endpoint] = {}
@@ -176,8 +179,10 @@
             case JobEvent():
                 self._job_event(message)
             case ep.Started(job=job, attempt=attempt, share=None):
-                if self.door and (held := self.held.get(job)):
-                    self.door(Began(held.request))
+                if held := self.held.get(job):
+                    held.began_us = held.began_us or self.clock.now_us()
+                    if self.door:
+                        self.door(Began(held.request))
                 self._decide(api.JobStarted(job, attempt))
             case ep.Started(job=job, attempt=attempt, share=share):
                 self._decide(api.JobProgress(job, attempt, share or 0.0))
@@ -253,6 +258,8 @@
         self.next_number += 1
         deadline_us = taken.arrived_us + request.time_left_us
         self.held[job] = _Held(job, request, deadline_us, taken.reply)
+        if self.tape and taken.caller is None:  # else the door has told of it
+            self.tape.arrived(request, taken.arrived_us, "")
         left_us = max(1, deadline_us - self.clock.now_us())
         self._decide(
             api.Arrived(api.Request(job, request.job_class, left_us, client_repeat=request.client_repeat))
@@ -265,6 +272,7 @@
             until_us = min(until_us, self.clock.now_us() + action.timeout_us)
         number = len(held.endpoints)
         held.endpoints.append(action.address)
+        held.began_us = 0
         held.out += 1
         final = until_us >= held.deadline_us
         if self.door and number == 0:
@@ -284,6 +292,8 @@
         held = self.held[ended.job]
         held.out -= 1
         endpoint = held.endpoints[ended.attempt]
+        if self.tape:
+            self.tape.attempted(held.request, endpoint, ended.outcome, ended.took_us, held.began_us)
         held.endings.append(f"{endpoint} {ended.outcome.value} {ended.took_us // 1000}ms")
         if ended.outcome is api.Outcome.FULL:
             held.returned.append(endpoint)
@@ -299,6 +309,8 @@
         if held.leaving:
             self._stay(held)
         self.figures.answered(held.request.job_class, answer)
+        if self.tape:
+            self.tape.answered(held.request, answer.status)
         if answer is messages.FAILED:
             name = self.config.classes[held.request.job_class]
             log.warning(
@@ -464,6 +476,8 @@
 
     def _update(self, destination: Destination) -> None:
         self.destinations[destination.instance_id] = destination
+        if self.tape:
+            self.tape.listed(destination)
         told = self._effective(destination)
         if endpoint := self.endpoints.get(destination.instance_id):
             endpoint.tell(told)
--- a/robinhill/net/doorkeeper.py
+++ b/robinhill/net/doorkeeper.py
@@ -19,6 +19,7 @@
 from robinhill.net.decider import Began, ClientLeft, Placed, Taken
 from robinhill.net.figures import Figures
 from robinhill.net.messages import Answer, JobRequest
+from robinhill.net.tape import Tape
 
 log = logging.getLogger(__name__)
 
@@ -100,6 +101,7 @@
         self.door = Door(
             config.settings, config.operator.door, config.seed, secrets.token_bytes(SECRET_BYTES)
         )
+        self.tape: Tape | None = None  # records what passes
         self._entries: dict[int, _Entry] = {}
         self._numbers: dict[str, int] = {}
         self._next = 1
@@ -158,6 +160,8 @@
             return
         number = self._note(taken, taken.caller)
         request = taken.request
+        if self.tape and not owed:
+            self.tape.arrived(request, taken.arrived_us, taken.caller.name)
         ask = Ask(number, request.job_class, taken.caller, taken.arrived_us, request.time_left_us, owed)
         self._perform(self.door.arrive(now, ask))
 
@@ -197,6 +201,8 @@
         request, reply = entry.taken.request, entry.taken.reply
         answer = messages.excess(refusal.retry_us) if refusal.own else messages.fail_fast(refusal.retry_us)
         self.figures.answered(request.job_class, answer)
+        if self.tape:
+            self.tape.answered(request, answer.status)
         log.debug(
             "door_refused",
             extra={"id": request.id, "tenant": entry.caller.name, "why": refusal.reason},
--- a/robinhill/net/figures.py
+++ b/robinhill/net/figures.py
@@ -2,9 +2,13 @@
 
 from collections import Counter
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from robinhill.net.messages import Answer
 
+if TYPE_CHECKING:
+    from robinhill.record.recorder import Recorder
+
 PREFIX = "app"
 OUTCOMES = ("ok", "shed", "errors")
 
@@ -25,6 +29,7 @@
         self.active = 0  # requests taken and not yet ended; where the client has left, by the attempt's end
         self.pool_size = 0
         self.pool_ejected = 0
+        self.recorder: Recorder | None = None  # where what passes is recorded
         self.at_door: Callable[[], int] | None = None  # requests that wait at the door, where there is one
 
     def answered(self, job_class: int, answer: Answer) -> None:
@@ -44,4 +49,7 @@
         lines.append(f"{PREFIX}.pool_ejected:{self.pool_ejected}|g")
         if self.at_door:
             lines.append(f"{PREFIX}.door.queued:{self.at_door()}|g")
+        if self.recorder:
+            lines.append(f"{PREFIX}.record.written:{self.recorder.written}|c")
+            lines.append(f"{PREFIX}.record.dropped:{self.recorder.dropped}|c")
         return "".join(f"{line}\n" for line in lines)
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -6,7 +6,7 @@
 import signal
 from collections.abc import Coroutine, Mapping
 from dataclasses import fields, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from robinhill import config as configuration
 from robinhill.config import Config, OperatorFile
@@ -23,6 +23,10 @@
 from robinhill.net.messages import DONE, Answer, JobEvent, JobRequest
 from robinhill.net.operators import Calls, Operators
 from robinhill.net.succession import Succession
+from robinhill.net.tape import Tape
+
+if TYPE_CHECKING:
+    from robinhill.record.recorder import Recorder
 
 log = logging.getLogger(__name__)
 
@@ -55,6 +59,17 @@
         if config.operator:
             self.door = Doorkeeper(config, self.supervisor, self.clock, self.figures, self.decider.tell)
             self.decider.door = self.door.tell
+        self.recorder: Recorder | None = None
+        if config.operator and config.operator.record.folder:
+            from robinhill.record import recorder
+
+            self.recorder = recorder.Recorder(config.operator.record, config.name)
+            tape = Tape(self.recorder, self.clock, config.classes)
+            self.decider.tape = tape
+            if self.door:
+                self.door.tape = tape
+            self.figures.recorder = self.recorder
+            self.recorder.start()
         self.inbound = Inbound(
             config,
             self.supervisor,
@@ -315,6 +330,8 @@
             self.succession.close()
         await self.supervisor.close()
         await self.decider.close()
+        if self.recorder:
+            await asyncio.get_running_loop().run_in_executor(None, self.recorder.close)
         log.info("stopped")
 
     async def run(self) -> None:
--- /dev/null
+++ b/robinhill/record/__init__.py
@@ -0,0 +1,1 @@
+"""Recordings of what passes: a framed, versioned, compressed format, and the records that it holds."""
--- a/robinhill/standin/discovery.py
+++ b/robinhill/standin/discovery.py
@@ -9,9 +9,9 @@
 import orjson
 from aiohttp import web
 
-from robinhill.standin.journal import Journal, What
 from robinhill.standin.site import LOOPBACK
 from robinhill.standin.worker import Worker
+from robinhill.witness.journal import Journal, What
 
 Json = dict[str, Any]
 EMPTY_EVERY_S = 2.0
--- a/robinhill/standin/journal.py
+++ b/robinhill/witness/journal.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+NOBODYS = 2  # status of a FELL that no scheduler could have known better
+
 
 class What(Enum):
     """What can happen to a request or a worker."""
@@ -41,9 +43,11 @@
     events: list[Event] = field(default_factory=list)
     begun: Counter[str] = field(default_factory=Counter)  # by worker, for live figures
 
-    def note(
-        self, what: What, request: str = "", worker: str = "", status: int = 0, kind: str = ""
-    ) -> None:
-        self.events.append(Event(time.monotonic(), what, request, worker, status, kind))
-        if what is What.BEGAN:
-            self.begun[worker] += 1
+    def add(self, event: Event) -> None:
+        """Note an event that has its time already."""
+        self.events.append(event)
+        if event.what is What.BEGAN:
+            self.begun[event.worker] += 1
+
+    def note(self, what: What, request: str = "", worker: str = "", status: int = 0, kind: str = "") -> None:
+        self.add(Event(time.monotonic(), what, request, worker, status, kind))
--- a/robinhill/standin/rules.py
+++ b/robinhill/witness/rules.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 
-from robinhill.standin.journal import Event, Journal, What
+from robinhill.witness.journal import NOBODYS, Event, Journal, What
 
 DRAIN_S = 0.55  # the grace of half a second, and the 50 ms that sockets get
 REFUSALS = (429, 503)
@@ -22,7 +22,7 @@
         found += _answers(request, its, ended)
         found += _attempts(request, its, kinds)
     found += _drains(events)
-    found += [f"{e.worker} was pushed over" for e in events if e.what is What.FELL]
+    found += [f"{e.worker} was pushed over" for e in events if e.what is What.FELL and e.status != NOBODYS]
     return found
 
 
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -5,10 +5,10 @@
 import pytest
 
 from robinhill.standin.client import Clients, Tenant
-from robinhill.standin.journal import Event, Journal, What
 from robinhill.standin.program import town
-from robinhill.standin.rules import broken
 from robinhill.standin.site import Site
+from robinhill.witness.journal import Event, Journal, What
+from robinhill.witness.rules import broken
 
 ASKED, ANSWERED, GONE, SENT = What.ASKED, What.ANSWERED, What.GONE, What.SENT
 RETURNED, ENDED, CALLED_OFF = What.RETURNED, What.ENDED, What.CALLED_OFF
