--- a/robinhill/model/compare.py
+++ b/robinhill/model/compare.py
@@ -42,7 +42,7 @@
     root: str | None = None  # a checked-out tree of another revision, whose module plays
 
     def side(self) -> Side:
-        """For one run; ``closing`` ends what it has started."""
+        """For one run of this tree's module; `play` gives it another one where a root is named."""
         return Side(self.name, dict(self.settings), self.door, dict(self.clients))
 
 
--- a/robinhill/model/trace.py
+++ b/robinhill/model/trace.py
@@ -96,7 +96,7 @@
     return Trace(mended, repairs)
 
 
-def fit(trace: Trace, kinds: tuple[JobKind, ...], worths: dict[str, JobKind] | None = None) -> Traffic:
+def fit(trace: Trace, kinds: tuple[JobKind, ...]) -> Traffic:
     """A description of a trace's traffic: rate, shares, mean lengths and their spread, tenants and their
     skew.
     """
--- a/robinhill/net/tape.py
+++ b/robinhill/net/tape.py
@@ -39,7 +39,8 @@
     ) -> None:
         """An attempt has ended."""
         now = self.clock.now_us()
-        ran = now - began_us if began_us else -1
+        # The ending has come by another mailbox since: it did not run longer than it was out.
+        ran = min(took_us, now - began_us) if began_us else -1
         self.recorder.note(
             Attempted(now, self.recorder.hash(request.id), endpoint, outcome.value, took_us, ran)
         )
