Drop what the door and the model do not use, and ask once whether a job fits

Need: a reading of the whole change found an unused look-up of networks, a flag that was never set, a job's state that nobody read, imports inside functions, and the same sums of slots and memory written twice in the model's worker. Change: they are gone; a job fits by one function. Behaviour is as before.

--- a/robinhill/door/callers.py
+++ b/robinhill/door/callers.py
@@ -6,7 +6,7 @@
 
 from pytricia import PyTricia
 
-from robinhill.door.options import DoorOptions, Network
+from robinhill.door.options import DoorOptions
 
 SECRET_BYTES = 16
 REMEMBERED = 4_096  # addresses; some 1 MB
@@ -48,9 +48,6 @@
         digest = blake2b(text.encode(errors="surrogateescape"), digest_size=8, key=self.secret).digest()
         return int.from_bytes(digest)
 
-    def network(self, number: int) -> Network:
-        return self.options.networks[number]
-
     def find(self, header: str | None, address: str | None, key: str = "") -> Caller:
         """The caller of a request with this tenant header, peer address and route key.
 
--- a/robinhill/door/door.py
+++ b/robinhill/door/door.py
@@ -534,18 +534,18 @@
         """Whether it is a tenant's own doing that it must wait: no queue is as long, and others are here."""
         if queue.strangers or len(self._present) < 2:
             return False
-        return self._most(refresh=False) is queue
+        return self._most() is queue
 
-    def _most(self, refresh: bool) -> Queue | None:
+    def _most(self) -> Queue | None:
         at, queue = self._longest
-        if refresh or queue is None or not queue.length or self.now - at > LONGEST_EVERY_US:
+        if queue is None or not queue.length or self.now - at > LONGEST_EVERY_US:
             queue = self.rounds.longest() if self.rounds.length else None
             self._longest = self.now, queue
         return queue
 
     def _make_room(self, ticket: Ticket) -> bool:
         """Put out the newest of the longest queue, if that is longer than this one's would be."""
-        longest = self._most(refresh=False)
+        longest = self._most()
         weight = self.rounds.weight
         if longest is None or longest is ticket.queue:
             return False
--- a/robinhill/model/workers.py
+++ b/robinhill/model/workers.py
@@ -36,7 +36,6 @@
     told: bool = True  # its scheduler knows of the worker's last start
     left_us: float = 0.0
     fails: bool = False  # it ends in an error
-    running: bool = False
     quiet: bool = False  # called off: nobody is told
 
 
@@ -95,7 +94,7 @@
         self._note(What.SENT, job)
         self._press(job)
         fits = job.slots <= self.machine.slots and job.memory <= self.machine.memory
-        full = len(self.waiting) >= self.machine.queue and not self._room(job)
+        full = len(self.waiting) >= self.machine.queue and (self.waiting or not self._fits(job))
         if self.silent or self.lifecycle != "active" or full or not fits:
             self._note(What.RETURNED, job)
             return False
@@ -167,26 +166,21 @@
         passed = (self.engine.now - self.started_us) / (self.fleet.cold_s * 1e6)
         return min(1.0, self.fleet.cold_from + (1 - self.fleet.cold_from) * passed)
 
-    def _room(self, job: Job) -> bool:
-        slots = sum(j.slots for j in self.running) + job.slots
-        memory = sum(j.memory for j in self.running) + job.memory
-        return slots <= self.machine.slots and memory <= self.machine.memory and not self.waiting
-
     def _pump(self) -> None:
         """Start waiting jobs in order; the first waits until it fits."""
         self._advance()
         while self.waiting:
             job = self.waiting.popleft()
-            if not self._room_beside(job):
+            if not self._fits(job):
                 self.waiting.appendleft(job)
                 break
-            job.running = True
             self.running.append(job)
             self._note(What.BEGAN, job)
             job.tell("started", job)
         self._plan()
 
-    def _room_beside(self, job: Job) -> bool:
+    def _fits(self, job: Job) -> bool:
+        """Whether it can run beside what runs now."""
         slots = sum(j.slots for j in self.running) + job.slots
         memory = sum(j.memory for j in self.running) + job.memory
         return slots <= self.machine.slots and memory <= self.machine.memory
--- a/robinhill/model/world.py
+++ b/robinhill/model/world.py
@@ -8,10 +8,11 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import numpy as np
+from msgspec.structs import asdict
 
 from robinhill import api
 from robinhill.door import Door, DoorOptions
@@ -109,7 +110,7 @@
         self._present, self._present_at, self._present_sum = 0, START_US, 0.0
         self._stays: list[int] = []
         self._wishes: list[_Wish] = []
-        self._clients = {**_asdict(description.clients), **side.clients}
+        self._clients = {**asdict(description.clients), **side.clients}
         kinds = {k.name: i for i, k in enumerate(description.traffic.kinds)}
         for asked in trace.asked:
             if asked.kind not in kinds:
@@ -160,8 +161,6 @@
         return made
 
     def _make_node(self, number: int) -> Node:
-        from dataclasses import replace
-
         zone = number % len(self.zones)
         settings = replace(self.settings, zone=zone)
         seed = int(stream(self.seed, NODES, number).integers(1 << 60))
@@ -438,9 +437,3 @@
 
     def _emit(self, what: What, request: str = "", worker: str = "", status: int = 0, kind: str = "") -> None:
         self.journal.events.append(Event(self.engine.now / 1e6, what, request, worker, status, kind))
-
-
-def _asdict(struct: Any) -> dict[str, Any]:
-    import msgspec
-
-    return msgspec.structs.asdict(struct)
