Take a worker that answers a probe with 503 for alive, and leave it its jobs

Ruled out: a worker that hangs under its load (none timed out).

Cause: endpoint.py, _probe, took 'alive' for 'status 200', and the module moves jobs off a worker that answers no probe. The protocol says 200 or 503; both are answers. The adapter did the same with 'errored' and 'saturated'.

Change: any answer is a sign of life.

--- a/robinhill/adapter.py
+++ b/robinhill/adapter.py
@@ -51,7 +51,7 @@
             "ClientGone": lambda m: api.ClientGone(m[1]),
             "Elapsed": lambda m: api.TimerFired(m[1]),
             "Targets": lambda m: api.WorkersListed(api.ListKind(m[1]), self.pools[m[3]] if m[1] != 3 else []),
-            "Sampled": lambda m: api.ProbeEnded(m[1], m[2] == "completed"),
+            "Sampled": lambda m: api.ProbeEnded(m[1], m[2] in ("completed", "errored", "saturated")),
             "Inbox": lambda m: None,
         }
 
--- a/robinhill/api.py
+++ b/robinhill/api.py
@@ -255,7 +255,7 @@
 
 @dataclass(slots=True)
 class ProbeEnded:
-    """The result of a probe."""
+    """The result of a probe; ``alive`` if the worker answered at all, though it drains or is ill."""
 
     address: str
     alive: bool
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -480,7 +480,7 @@
         try:
             async with self.session.get(self._url("/health"), timeout=timeout) as response:
                 await response.read()
-                alive = response.status == 200
+                alive = True  # 503 too: it drains, and finishes what it has
         except (aiohttp.ClientError, OSError, TimeoutError):
             alive = False
         self.report(Probed(self.destination.instance_id, alive))
