--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -67,7 +67,7 @@
 
 
 def test_thin_nodes_do_not_leave_a_full_zone_all_together() -> None:
-    """A third of the workers stand where 6 in 10 jobs come. All nodes there answered to the same late waits by
+    """A third of the workers stand where 6 in 10 jobs come. All nodes answered to the same late waits by
     the eighth power: none crossed, then nine in ten did, and the other zone was as full (join+vast)."""
     workers = [api.Worker(f"w{i}", zone=int(i < 21)) for i in range(60)]
     zones = [int(node < 24) for node in range(40)]
