--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -115,7 +115,7 @@
 
 def test_a_start_loads_only_what_the_platform_needs(tmp_path: Path) -> None:
     """A restart is an outage for who comes meanwhile: certificates of the machine and the door's code took a
-    third of it, and no connection here uses either."""
+    fifth of it, and no connection here uses either."""
     (tmp_path / "config.json").write_text("{}")
     code = (
         "import sys, robinhill.__main__ as m; code = m.main(['run']);"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -29,7 +29,7 @@
 @pytest.mark.parametrize("nodes", [40, 200])
 def test_unsafe_jobs_find_out_little_about_bad_workers(nodes: int) -> None:
     """Of 40 nodes each meets a worker once in half a minute: each found out each bad one anew, with charges
-    as often as with others, and 36 of 820 charges of a day were lost (zone+vast)."""
+    as often as with others, and 36 of 859 charges of a day were lost (zone+vast)."""
     sent = play(nodes, WORKERS, 80, 30, half_fail, classes=(SAFE, SAFE, SAFE, UNSAFE))
     met = Counter((s.worker in BAD, s.job_class == 3) for s in sent)
     unsafe = met[True, True] / (met[True, True] + met[False, True])
