--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -304,7 +304,6 @@
         risky, pace = klass.repeat is api.Repeat.UNSAFE, self._pace(now)
         # Own jobs come too seldom to learn from: one failure tells, unsafe jobs go where others ended well.
         thin = self.thin = 1e6 * self.ready * self.seen > self.rate * self.s.cold_us
-        wary = thin and risky and any(x.failed > 0.1 for x in self.seats.values())
         sends, hint, aim, told = self.sends, 1.5 * job.request.work_hint_us, job.aim_us, self.s.tells_start
         keep = self.s.keepalive_us - self.tick_us if self.s.handshake_price else inf
         best, best_key, best_rank, best_cost, full = None, (9, 0.0, 0, 0.0), 9, 0.0, True
@@ -323,13 +322,14 @@
                 cost *= self._warm(now, seat)
             cost *= (1 - thin * seat.failed) ** 8 * (self.spare if seat.wanted and not bound else 1.0)
             full_here = seat.full and now < seat.full.get(job.request.job_class, 0)
-            if full_here or now < seat.doubt_us or (seat.faults and risky):  # others may try it again
+            # What has failed is tried again by jobs that may be repeated.
+            if full_here or now < seat.doubt_us or (seat.faults and risky):
                 cost /= BACK_OFF
             # With a hint, those that make the aim with half as much again go before tight fits.
             rank = 2 if hint and now + seat.unit * hint > aim else 0
             # Where starts are not told, one with an own job out is less surely ready than one without.
             rank += 1 if seat.out and not told else 0
-            rank += wary and (seat.failed > 0.1 or not (seat.done_us or now < seat.cold_us))
+            rank += thin and risky and (seat.failed > 0.1 or not (seat.done_us or now < seat.cold_us))
             if rank < best_rank or (rank == best_rank and cost <= best_cost):
                 key = (rank, cost, seat.last, seat.rank)
                 if key < best_key and self._fits(now, seat, job):
