Keep in one place what counts as a worker's answer, and no share of the window

Reading the change again: the adapter listed the three outcomes that a worker itself answers with by their wire names, beside the same three in the module (_judge); both go by api.ANSWERED now. Balancer.seen was kept by _pace for _pick to read right after it; _pick works it out and hands it on. The fleet of the tests had two branches that recorded an attempt, and an alias of START.

--- a/robinhill/adapter.py
+++ b/robinhill/adapter.py
@@ -23,6 +23,7 @@
     "recalled": api.Outcome.CANCELLED,
     "superseded": api.Outcome.NOT_SENT,
 }
+ALIVE = tuple(name for name, outcome in OUTCOMES.items() if outcome in api.ANSWERED)  # of a probe
 
 
 class WireError(Exception):
@@ -51,7 +52,7 @@
             "ClientGone": lambda m: api.ClientGone(m[1]),
             "Elapsed": lambda m: api.TimerFired(m[1]),
             "Targets": lambda m: api.WorkersListed(api.ListKind(m[1]), self.pools[m[3]] if m[1] != 3 else []),
-            "Sampled": lambda m: api.ProbeEnded(m[1], m[2] in ("completed", "errored", "saturated")),
+            "Sampled": lambda m: api.ProbeEnded(m[1], m[2] in ALIVE),
             "Inbox": lambda m: None,
         }
 
--- a/robinhill/api.py
+++ b/robinhill/api.py
@@ -44,6 +44,7 @@
 
 
 _NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
+ANSWERED = frozenset({Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL})  # the worker's own word: it is alive
 
 
 class WorkerState(IntEnum):
--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -130,7 +130,7 @@
         self.usual_us = [0.0] * len(settings.classes)  # the lowest class_us seen, rising slowly
         self.kinds: dict[int, _Mean] = {}  # job time by kind of machine
         self.served, self.ready, self.given_up = _Mean(), 1, 0  # own completions; usable workers; given up
-        self.seen, self.thin = 1.0, False  # share of the window seen since the start; few own jobs a worker
+        self.thin = False  # fewer own jobs than workers in the window, as of the last pick
         self.quick: dict[int, float] = {}  # low quantile of time taken over work by kind of machine
         self.zones: dict[int, _Mean] = {}  # wait of own jobs by zone
         self.unit, self.hint_us = _Mean(), 0.0  # job time on a worker of weight 1; smoothed hint, if any
@@ -219,11 +219,10 @@
             seat.idle_us = 0
             self.out.append(api.CloseIdle(seat.entry.address))
 
-    def _pace(self, now: int) -> float:
+    def _pace(self, now: int, seen: float) -> float:
         """Own jobs a microsecond to a cold worker, were it warm: a share of what all bear, or of one job."""
         served, window, job_us = self.served, self.s.cold_us, self.mean_us or UNKNOWN_JOB_US
-        self.seen = -expm1((self.began_us - now) / window) or 1.0
-        share = served.count * exp((served.at_us - now) / window) / (self.seen * window * self.ready)
+        share = served.count * exp((served.at_us - now) / window) / (seen * window * self.ready)
         return self.s.fall_multiple / 2 * max(share, 1 / (self.s.fleet_size * job_us))
 
     def _earned(self, now: int, seat: _Seat, pace: float) -> bool:
@@ -301,9 +300,10 @@
         if not self.sends % 8:
             self._weigh()
         bound = (klass := self.s.classes[job.request.job_class]).bound
-        risky, pace = klass.repeat is api.Repeat.UNSAFE, self._pace(now)
+        seen = -expm1((self.began_us - now) / self.s.cold_us) or 1.0  # of the window: little after a start
+        risky, pace = klass.repeat is api.Repeat.UNSAFE, self._pace(now, seen)
         # Own jobs come too seldom to learn from: one failure tells, unsafe jobs go where others ended well.
-        thin = self.thin = 1e6 * self.ready * self.seen > self.rate * self.s.cold_us
+        thin = self.thin = 1e6 * self.ready * seen > self.rate * self.s.cold_us
         sends, hint, aim, told = self.sends, 1.5 * job.request.work_hint_us, job.aim_us, self.s.tells_start
         keep = self.s.keepalive_us - self.tick_us if self.s.handshake_price else inf
         best, best_key, best_rank, best_cost, full = None, (9, 0.0, 0, 0.0), 9, 0.0, True
@@ -455,7 +455,7 @@
     def _judge(self, now: int, flight: _Flight, outcome: api.Outcome, took_us: int) -> None:
         """What an outcome tells of the worker."""
         seat, late = flight.seat, outcome is api.Outcome.TIMEOUT or flight.dropped
-        if outcome in (api.Outcome.COMPLETED, api.Outcome.ERROR, api.Outcome.FULL):
+        if outcome in api.ANSWERED:
             seat.heard_us = now
         elif seat.heard_us < flight.sent_us and took_us >= self.s.connect_timeout_us * 3 // 4:
             self._suspect(now, seat)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -41,7 +41,7 @@
     """Every attempt, in the order of sending; ``answer`` tells how one ends by worker and moment. Workers
     run as many at once as they have slots, in order. Nodes start together at START, with the list, and get
     the jobs by lot; ``told``: when, in seconds, all hear of which changes; ``zones``: of the nodes."""
-    start, chance, order = START, random.Random(nodes), itertools.count()
+    chance, order = random.Random(nodes), itertools.count()
     balancers = []
     for node in range(nodes):
         zone = zones[node] if zones else 0
@@ -58,15 +58,13 @@
             put(now + timer.after_us, node, api.TimerFired(timer.tag))
         for send in only(actions, api.Send):
             tries[send.job] = attempt = tries.get(send.job, -1) + 1
-            outcome, took = answer(send.address, now - start, chance)
-            if outcome is api.Outcome.CONNECT_FAILED:
-                sent.append(Sent(now - start, node, send.address, classes[send.job], outcome, 0))
-                put(now + took, node, api.AttemptEnded(send.job, attempt, outcome, took, False))
-                continue
-            began = max(now + WAY_US, heapq.heappop(free.setdefault(send.address, [0] * slots)))
-            heapq.heappush(free[send.address], began + took)
-            sent.append(Sent(now - start, node, send.address, classes[send.job], outcome, began - now))
-            put(began, node, api.JobStarted(send.job, attempt))
+            outcome, took = answer(send.address, now - START, chance)
+            began = now
+            if outcome is not api.Outcome.CONNECT_FAILED:
+                began = max(now + WAY_US, heapq.heappop(free.setdefault(send.address, [0] * slots)))
+                heapq.heappush(free[send.address], began + took)
+                put(began, node, api.JobStarted(send.job, attempt))
+            sent.append(Sent(now - START, node, send.address, classes[send.job], outcome, began - now))
             final, took = outcome is api.Outcome.COMPLETED, began + took - now
             put(now + took, node, api.AttemptEnded(send.job, attempt, outcome, took, final))
 
@@ -74,18 +72,18 @@
     tries: dict[int, int] = {}
     classes: dict[int, int] = {}
     for node, balancer in enumerate(balancers):
-        balancer.start(start)
-        put(start, node, api.WorkersListed(api.ListKind.CACHED, list(workers)))
-        put(start + int(told[0] * S), node, api.WorkersListed(api.ListKind.CHANGES, list(told[1])))
+        balancer.start(START)
+        put(START, node, api.WorkersListed(api.ListKind.CACHED, list(workers)))
+        put(START + int(told[0] * S), node, api.WorkersListed(api.ListKind.CHANGES, list(told[1])))
     for job in range(int(jobs_a_second * seconds)):
         classes[job] = chance.randrange(len(chosen.classes))
         left = chosen.classes[classes[job]].deadline_us
         put(
-            start + int((job + 1) / jobs_a_second * S),
+            START + int((job + 1) / jobs_a_second * S),
             chance.randrange(nodes),
             api.Arrived(api.Request(job, classes[job], left)),
         )
-    while queue and queue[0][0] < start + seconds * S:
+    while queue and queue[0][0] < START + seconds * S:
         now, _, node, event = heapq.heappop(queue)
         carry_out(now, node, balancers[node].handle(now, event))
     return sent
