Count jobs to cold workers with the tests' one fleet

sent_while_cold played nodes by a loop of its own, in which jobs began and ended at once; tests/fleet.py does that for all such tests, with time for starts and ends.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,6 +8,7 @@
 from robinhill import api
 
 from .conftest import MS, Node, S, klass, only, sent_to, settings
+from .fleet import START, play
 
 O = api.Outcome  # noqa: E741
 FINAL = (api.Refuse, api.Fail)
@@ -321,29 +322,19 @@
     assert all(b - a > 50 * MS for a, b in itertools.pairwise(cold))
 
 
-def sent_while_cold(nodes: int, jobs_a_second: int, workers: int = 10, cold: int = 6) -> int:
+def sent_while_cold(nodes: int) -> int:
     """Jobs that all nodes together send to workers just started, before these are warm."""
-    sent = 0
-    for seed in range(nodes):
-        node = Node(workers, seed=seed, fleet_size=nodes, tells_start=True)
-        gap = nodes * S // jobs_a_second
-        until = node.now + 60 * S
-        new = [api.Worker(f"new{i}", started_us=until) for i in range(cold)]
-        left = [api.Worker(f"w{i}", state=api.WorkerState.GONE) for i in range(cold)]
-        while node.now < until + 9 * S:
-            if node.now >= until and f"new{cold - 1}" not in node.balancer.seats:
-                node.listed(api.ListKind.CHANGES, *new, *left)
-            for send in only(node.ask(gap), api.Send):
-                sent += send.address.startswith("new") and node.now < until + 9 * S
-                node.do(api.JobStarted(send.job, 0))
-                node.end(send.job, took_us=500 * MS)
-    return sent
+    new = [api.Worker(f"new{i}", started_us=START + 60 * S) for i in range(6)]
+    left = [api.Worker(f"w{i}", state=api.WorkerState.GONE) for i in range(6)]
+    workers = [api.Worker(f"w{i}") for i in range(10)]
+    sent = play(nodes, workers, 40, 69, lambda *_: (O.COMPLETED, 500 * MS), (60.0, new + left))
+    return sum(s.worker.startswith("new") for s in sent)
 
 
 def test_a_fleet_of_many_nodes_uses_cold_workers_as_one_of_few_does() -> None:
     """Of 200 nodes each sees a job a second, so the most of its own that ran at once at a worker is one. Each
     held to its share of one job at a time, and 61 cold workers of 101 got one in 18 (full-fleet join day)."""
-    few, many = sent_while_cold(2, 40), sent_while_cold(40, 40)
+    few, many = sent_while_cold(2), sent_while_cold(40)
     # 40 jobs a second over 10 workers, 0.3 to 1 of it warm: 4 x 0.65 x 9 s x 6 is the even share of the cold
     for sent in (few, many):
         assert 0.5 * 140 <= sent <= 1.25 * 140
