--- /dev/null
+++ b/robinhill/gang/__init__.py
@@ -0,0 +1,1 @@
+"""Stragglers in gangs of jobs. Decisions only: no input or output."""
--- /dev/null
+++ b/robinhill/mesh/words.py
@@ -0,0 +1,101 @@
+"""The words that the parts of the mesh share: stamps, records, kinds of state; and their errors.
+
+All times are microseconds. ``now_us`` is Unix time as ``net/clock.py`` keeps it (never steps back within a
+process); ``mono_us`` is a monotonic clock of one process, never compared between processes.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+import msgspec
+
+from robinhill.errors import RobinhillError
+
+Value = TypeVar("Value")
+
+
+class Stamp(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """When and by whom a record was last written: a hybrid logical timestamp; larger is later.
+
+    Source: Kulkarni et al., "Logical physical clocks", 2014. ``incarnation`` is new at each start of ``origin``
+    and larger than the one before, also where that host's clock was set back.
+    """
+
+    wall_us: int
+    count: int
+    origin: str
+    incarnation: int
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """One piece of shared state, as it travels and as it lies on disk.
+
+    ``kind`` and ``key`` name it. ``value`` is MessagePack that only its kind understands: a process that does not
+    know the kind (a peer is newer) keeps and passes on the record with the larger stamp, unharmed. Past
+    ``until_us`` (Unix time) it counts for nothing and may be dropped.
+    """
+
+    kind: str
+    key: str
+    stamp: Stamp
+    until_us: int
+    value: bytes
+
+    @property
+    def name(self) -> tuple[str, str]:
+        return self.kind, self.key
+
+
+@dataclass(slots=True, frozen=True)
+class Kind(Generic[Value]):
+    """One kind of state, registered with the replica, which knows none by name.
+
+    ``merge`` is the rule for copies that differ: pure, commutative, associative, idempotent. ``encode`` must be
+    canonical (equal values give equal bytes). ``bound``: records of it at most; beyond that ``evict`` says which
+    go first (by ascending key), or new ones are refused where it is None. ``lifetime_us``: how long after its
+    last write a record counts. ``at_rest``: whether it is saved to disk and handed to a process that returns.
+    """
+
+    name: str
+    encode: Callable[[Value], bytes]
+    decode: Callable[[bytes], Value]
+    merge: Callable[[Value, Value], Value]
+    lifetime_us: int
+    bound: int
+    evict: "Callable[[Record], Any] | None" = None
+    at_rest: bool = True
+
+
+class MeshError(RobinhillError):
+    """Sharing with other schedulers failed."""
+
+
+class PeerRefused(MeshError):
+    """A peer was turned away: another installation, another protocol, our own name, or malformed words."""
+
+    advice = "check that both name the same installation, that names differ and that versions are close"
+
+
+class PeerUnreachable(MeshError):
+    """No link to a peer comes up."""
+
+    advice = "look whether it runs and whether its mesh address in the operators' file can be reached from here"
+
+
+class ForeignState(MeshError):
+    """A record or file is not ours, is damaged or is of a version that can't be read; it was set aside."""
+
+    advice = "nothing is lost that peers still hold; keep the file that was set aside for the developers"
+
+
+class FutureStamp(MeshError):
+    """A record claims to be from further in the future than clocks may differ; it was bounded."""
+
+    advice = "set the clock of the host that is named, and start its scheduler again"
+
+
+class StateFull(MeshError):
+    """A kind of state is at its bound; a new record was refused."""
+
+    advice = "lift what is no longer needed, or raise the bound in the operators' file on all schedulers"
