--- a/robinhill/mesh/__init__.py
+++ b/robinhill/mesh/__init__.py
@@ -1,1 +1,1 @@
-"""What schedulers share: records, copies of them, members, freshness. No input or output; time is an argument."""
+"""What schedulers share: records, copies, members, freshness. No input or output; time is an argument."""
--- a/robinhill/mesh/words.py
+++ b/robinhill/mesh/words.py
@@ -18,8 +18,8 @@
 class Stamp(msgspec.Struct, frozen=True, array_like=True, order=True):
     """When and by whom a record was last written: a hybrid logical timestamp; larger is later.
 
-    Source: Kulkarni et al., "Logical physical clocks", 2014. ``incarnation`` is new at each start of ``origin``
-    and larger than the one before, also where that host's clock was set back.
+    Source: Kulkarni et al., "Logical physical clocks", 2014. ``incarnation`` is new at each start of
+    ``origin`` and larger than the one before, also where that host's clock was set back.
     """
 
     wall_us: int
@@ -31,9 +31,9 @@
 class Record(msgspec.Struct, frozen=True, array_like=True):
     """One piece of shared state, as it travels and as it lies on disk.
 
-    ``kind`` and ``key`` name it. ``value`` is MessagePack that only its kind understands: a process that does not
-    know the kind (a peer is newer) keeps and passes on the record with the larger stamp, unharmed. Past
-    ``until_us`` (Unix time) it counts for nothing and may be dropped.
+    ``kind`` and ``key`` name it. ``value`` is MessagePack that only its kind understands: a process that
+    does not know the kind (a peer is newer) keeps and passes on the record with the larger stamp, unharmed.
+    Past ``until_us`` (Unix time) it counts for nothing and may be dropped.
     """
 
     kind: str
@@ -51,10 +51,10 @@
 class Kind(Generic[Value]):
     """One kind of state, registered with the replica, which knows none by name.
 
-    ``merge`` is the rule for copies that differ: pure, commutative, associative, idempotent. ``encode`` must be
-    canonical (equal values give equal bytes). ``bound``: records of it at most; beyond that ``evict`` says which
-    go first (by ascending key), or new ones are refused where it is None. ``lifetime_us``: how long after its
-    last write a record counts. ``at_rest``: whether it is saved to disk and handed to a process that returns.
+    ``merge`` is the rule for copies that differ: pure, commutative, associative, idempotent. ``encode`` must
+    be canonical (equal values give equal bytes). ``bound``: records of it at most; beyond that ``evict`` says
+    which go first (by ascending key), or new ones are refused where it is None. ``lifetime_us``: how long
+    after its last write a record counts. ``at_rest``: whether it is saved to disk and read again at a start.
     """
 
     name: str
@@ -80,7 +80,7 @@
 class PeerUnreachable(MeshError):
     """No link to a peer comes up."""
 
-    advice = "look whether it runs and whether its mesh address in the operators' file can be reached from here"
+    advice = "look whether it runs and whether its address in the operators' file can be reached from here"
 
 
 class ForeignState(MeshError):
