Open a silent watch anew at once, and hear a 202 out before its job is called off

Silence was noticed 4.5 s after the last byte and the next call then waited for the module's turn, 2.5 to 5 s with 200 schedulers: 8 to 10 s, where what was missed counts as told after 6 s. Silence now counts from the last whole word (an empty line every 2 s, so 2.5 s), half a line that trickles is no word, and the next call follows within 0.25 s. Lists may be indented and torn anywhere. Where lists are pushed nobody opened a watch: it is opened at the start now, and a new process hears it before clients come.

The connection stays open while DELETE is out, so that the 202 is seen.

Idempotency-Key goes on to workers; tenant and cost hint go to the module.

--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -87,6 +87,7 @@
     classes: tuple[str, ...]
     zones: tuple[str, ...]
     machine_types: tuple[str, ...]
+    tenants: tuple[str, ...] = ()
     operator: OperatorFile | None = None  # None: no such file is named
 
     def client_sockets(self, processes: int = 1) -> int:
@@ -129,6 +130,7 @@
         classes=tuple(c["name"] for c in options["classes"]),
         zones=_names(options.get("areas", []), "settings.areas"),
         machine_types=_names(options.get("shapes", []), "settings.shapes"),
+        tenants=tuple(_text(t.get("name"), "settings.tenants") for t in options.get("tenants", [])),
         operator=_operator(env),
     )
 
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -168,6 +168,7 @@
         self.outages = {instance_id: (clock.now_us(), 0) for instance_id in self.held_out}
         self.zones = list(config.zones)
         self.machine_types = list(config.machine_types)
+        self.tenants = {name: number for number, name in enumerate(config.tenants)}
 
     def start(self, known: DestinationList | None = None) -> None:
         self._perform(self.balancer.start(self.clock.now_us()))
@@ -263,8 +264,11 @@
         if self.tape and taken.caller is None:  # else the door has told of it
             self.tape.arrived(request, taken.arrived_us, "")
         left_us = max(1, deadline_us - self.clock.now_us())
+        tenant = self.tenants.get(request.tenant, 0)
         self._decide(
-            api.Arrived(api.Request(job, request.job_class, left_us, client_repeat=request.client_repeat))
+            api.Arrived(
+                api.Request(job, request.job_class, left_us, tenant, request.cost_us, request.client_repeat)
+            )
         )
 
     def _send(self, action: api.Send) -> None:
--- a/robinhill/net/destinations.py
+++ b/robinhill/net/destinations.py
@@ -2,21 +2,25 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import aiohttp
 
 from robinhill.config import Address
+from robinhill.listing import Pace
 from robinhill.net import messages
 from robinhill.net.actor import Actor, Supervisor
+from robinhill.net.clock import Clock
 from robinhill.net.decider import Listed
 
 log = logging.getLogger(__name__)
 
+Answered = TypeVar("Answered")
+
 CONNECT_TIMEOUT_S = 1.0
-LONGEST_LINE = 4 << 20  # some 20,000 workers
-SILENCE_S = 4.5  # an empty line comes every 2 s; what discovery tells counts as told within 6 s
+LONGEST_LIST = 4 << 20  # some 20,000 workers
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,18 +35,38 @@
     discovery: Address
 
 
+class _SilentError(Exception):
+    """No whole word came in time."""
+
+
 class Destinations(Actor[Watch | Move]):
-    """One watch at a time; each that ends, fails or falls silent is told to the module as a failed call."""
+    """One watch at a time; each that ends or fails is told to the module as a failed call.
+
+    One that falls silent is opened anew by ``pace`` alone, and so is each one where lists are pushed.
+    """
 
     def __init__(
-        self, discovery: Address, generation: int, supervisor: Supervisor, report: Callable[[Listed], None]
+        self,
+        discovery: Address,
+        generation: int,
+        pace: Pace,
+        clock: Clock,
+        supervisor: Supervisor,
+        report: Callable[[Listed], None],
     ) -> None:
         super().__init__("destinations", supervisor)
         self.discovery = discovery
         self.generation: int | None = generation  # the last version seen at this address
+        self.pace = pace
+        self.clock = clock
         self.report = report
         self.watch: asyncio.Task[None] | None = None
 
+    def start(self) -> None:
+        super().start()
+        if self.pace.pushed:  # the module does not ask where lists come by themselves
+            self.tell(Watch())
+
     def receive(self, message: Watch | Move) -> None:
         if isinstance(message, Move):
             self._move(message.discovery)
@@ -63,44 +87,64 @@
         self.discovery, self.generation, self.watch = discovery, None, None
 
     async def _watch(self) -> None:
-        try:
-            await self._read()
-            why = "ended"
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, messages.MalformedError) as e:
-            # aiohttp raises ValueError for a line longer than its buffer
-            why = f"{type(e).__name__}: {e}"
-        log.warning("watch_lost", extra={"generation": self.generation, "why": why})
+        wait_us: int | None = 0
+        while wait_us is not None:
+            await asyncio.sleep(wait_us / 1e6)
+            silent = False
+            self.pace.called(self.clock.now_us())
+            try:
+                await self._read()
+                why = "ended"
+            except _SilentError:
+                silent, why = True, "silent"
+            except (aiohttp.ClientError, OSError, messages.MalformedError) as e:
+                why = f"{type(e).__name__}: {e}"
+            wait_us = self.pace.lost(self.clock.now_us(), silent)
+            log.warning(
+                "watch_lost", extra={"generation": self.generation, "why": why, "again_us": wait_us or 0}
+            )
         self.watch = None
         self.report(Listed(None))
 
     async def _read(self) -> None:
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_S)
         query = {"watch": "1"}
         if self.generation is not None:
             query["after"] = str(self.generation)
-        async with (
-            aiohttp.ClientSession(timeout=timeout, read_bufsize=LONGEST_LINE) as session,
-            session.get(
-                f"http://{self.discovery}/v1/endpoints", params=query, allow_redirects=False
-            ) as response,
-        ):
-            if response.status != 200:
-                raise messages.MalformedError(f"status {response.status}")
-            first = True
-            async for line in response.content:
-                if line.strip():
-                    told = messages.read_destination_line(line)
-                    self.generation = told.generation
-                    self.report(Listed(told))
-                    log.info(
-                        "destinations",
-                        extra={
-                            "generation": told.generation,
-                            "reset": told.reset,
-                            "count": len(told.destinations),
-                        },
-                    )
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            url = f"http://{self.discovery}/v1/endpoints"
+            async with await self._in_time(session.get(url, params=query, allow_redirects=False)) as response:
+                if response.status != 200:
+                    raise messages.MalformedError(f"status {response.status}")
+                await self._listen(response.content)
+
+    async def _listen(self, content: aiohttp.StreamReader) -> None:
+        reader, first = messages.WatchReader(LONGEST_LIST), True
+        while data := await self._in_time(content.readany()):
+            for told in reader.feed(data):
+                self.pace.heard(self.clock.now_us())
+                if told:
+                    self._told(told)
                 elif first:
                     # Nothing has changed: the module hears that its call has been answered.
                     self.report(Listed(messages.DestinationList(self.generation or 0, False, ())))
                 first = False
+
+    async def _in_time(self, work: Awaitable[Answered]) -> Answered:
+        """Wait no longer than until the call or watch counts as silent."""
+        left_us = self.pace.silent_at() - self.clock.now_us()
+        try:
+            async with asyncio.timeout(max(0, left_us) / 1e6) as limit:
+                return await work
+        except TimeoutError:
+            if limit.expired():
+                raise _SilentError from None
+            raise  # a connect that did not come up
+
+    def _told(self, told: messages.DestinationList) -> None:
+        self.generation = told.generation
+        self.report(Listed(told))
+        log.info(
+            "destinations",
+            extra={"generation": told.generation, "reset": told.reset, "count": len(told.destinations)},
+        )
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -441,17 +441,21 @@
             self._call(self._call_off(attempt, outcome), f"cancel {attempt.request.id}")
 
     async def _call_off(self, attempt: _Attempt, outcome: Outcome | None = None) -> None:
-        """Close the connection if no 202 has come, and DELETE the job if it was written; then tell.
+        """DELETE the job if it was written, and close the connection if no 202 has come; then tell.
 
-        The 202 may have crossed the close: the endpoint has taken the job then, and only DELETE ends it.
+        A connection that is closed while its 202 is on the way gives nothing up, and nobody sees that 202 any
+        more: so the answer to DELETE is awaited first, with the connection open. DELETE goes on a connection
+        of its own and may come before the job itself: then it is said again behind the close.
         """
-        exchange = attempt.exchange
+        exchange, written = attempt.exchange, attempt.phase is _Phase.WRITTEN
+        answered = attempt.phase is _Phase.CONNECTING or await self._delete(attempt.request.id)
         if attempt.phase is not _Phase.ACCEPTED and exchange and not exchange.done():
             exchange.cancel()
             await asyncio.wait([exchange])
             await asyncio.sleep(0)  # the socket closes in the turn after its transport
-        unsure = attempt.phase is not _Phase.CONNECTING and not await self._delete(attempt.request.id)
-        if unsure and attempt.phase is _Phase.ACCEPTED:
+        if written and answered:
+            answered = await self._delete(attempt.request.id)
+        if not answered and attempt.phase is _Phase.ACCEPTED:
             # It has the job and may never have seen the cancel: another copy would be a second one.
             outcome = outcome and Outcome.TIMEOUT
         if outcome:
--- a/robinhill/net/messages.py
+++ b/robinhill/net/messages.py
@@ -2,6 +2,7 @@
 
 import math
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -12,20 +13,27 @@
 from yarl import URL
 
 MAX_BODY = 64 * 1024
+MAX_COST_US = 3_600_000_000  # an hour; sums of absurd guesses must stay sums
 
 REQUEST_ID = "X-Request-ID"
 CLASS = "X-Priority-Class"
 TIMEOUT = "X-Timeout"
 RETRIED = "X-Retried"
+TENANT = "X-Tenant-Id"
+COST = "X-Cost"
+KEY = "Idempotency-Key"
 NOT_PROCESSED = "X-Not-Processed"
 # Headers of a request that go on to its endpoint as they came.
-PASSED_ON = (REQUEST_ID, CLASS, RETRIED, "X-Route-Key", "X-Attrs", "Content-Type", "Content-Encoding")
+PASSED_ON = (REQUEST_ID, CLASS, RETRIED, KEY, "X-Route-Key", "X-Attrs", "Content-Type", "Content-Encoding")
+ONCE = (REQUEST_ID, CLASS, TIMEOUT, TENANT, COST, KEY)
 
 _TIMEOUT_FORM = re.compile(r"(\d{1,12}(?:\.\d{1,6})?)([mu])", re.ASCII)
 _UNITS_US = {"m": 1000, "u": 1}
+_COST_FORM = re.compile(r"\d{1,15}(?:\.\d{1,6})?", re.ASCII)
 _LENGTH_FORM = re.compile(r"\d{1,18}", re.ASCII)
 _TARGET_FORM = re.compile(r"/[!\"$-~]*", re.ASCII)
 _INSTANCE_FORM = re.compile(r"[!-~]{1,256}", re.ASCII)
+_JSON_TOKEN = re.compile(rb'[][{}]|"(?:[^"\\]|\\.)*"')
 _ID_FORM = re.compile(r"[!-~]{1,128}", re.ASCII)
 
 
@@ -35,7 +43,7 @@
 
 @dataclass(slots=True, frozen=True)
 class JobRequest:
-    """A client's request as it came; ``target`` is path and query."""
+    """A client's request as it came; ``target`` is path and query, ``cost_us`` a guess (0: none)."""
 
     id: str
     job_class: int
@@ -44,6 +52,9 @@
     target: str
     body: bytes
     headers: tuple[tuple[str, str], ...]
+    tenant: str = ""
+    cost_us: int = 0
+    key: str = ""  # two requests of one key are one effect; "" where the client gives none
 
 
 def check_framing(headers: MultiMapping[str]) -> None:
@@ -64,7 +75,7 @@
     deadlines_us: tuple[int, ...],
 ) -> JobRequest:
     """Decode a client's request; without a time-out it has its class's."""
-    for key in (REQUEST_ID, CLASS, TIMEOUT):
+    for key in ONCE:
         if len(headers.getall(key, [])) > 1:
             raise MalformedError(f"{key} must stand once")
     wire_id = headers.get(REQUEST_ID, "")
@@ -85,7 +96,15 @@
     if not all(value.isprintable() for _, value in passed):
         # Bytes that are not UTF-8: the client library would drop them without a word and pass on the rest.
         raise MalformedError("a header holds what is not printable text")
-    return JobRequest(wire_id, job_class, left, headers.get(RETRIED) == "1", target, body, passed)
+    return JobRequest(
+        wire_id, job_class, left, headers.get(RETRIED) == "1", target, body, passed,
+        headers.get(TENANT, ""), read_cost(headers.get(COST, "")), headers.get(KEY, ""),
+    )  # fmt: skip
+
+
+def read_cost(text: str) -> int:
+    """A guess at the work in microseconds. It is rough by its nature: one that is no number is none."""
+    return min(int(float(text)), MAX_COST_US) if _COST_FORM.fullmatch(text) else 0
 
 
 def read_timeout(text: str) -> int:
@@ -107,6 +126,9 @@
         "target": request.target,
         "body": request.body.decode("latin-1"),
         "headers": request.headers,
+        "tenant": request.tenant,
+        "cost_us": request.cost_us,
+        "key": request.key,
     }
 
 
@@ -253,9 +275,43 @@
     destinations: tuple[Destination, ...]
 
 
-def read_destination_line(line: bytes) -> DestinationList:
-    """Decode one line of a watch."""
-    return read_destinations(_load(line))
+class WatchReader:
+    """Cuts what a watch sends into its words: lists, which may be indented over many lines, and empty lines.
+
+    Where it is torn says nothing: a word is whole once the line that closes its outermost bracket has ended.
+    ``limit``: bytes that a word may have; longer ones raise MalformedError.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self._line = bytearray()  # since the last line break
+        self._value = bytearray()  # whole lines of a value that has not ended
+        self._depth = 0
+
+    def feed(self, data: bytes) -> Iterator[DestinationList | None]:
+        """Lists that are whole now, in order; None for each empty line between them."""
+        *lines, rest = data.split(b"\n")
+        for line in lines:
+            self._line += line
+            whole, self._line = bytes(self._line), bytearray()
+            if self._value:
+                self._add(whole)
+            elif not whole.strip():
+                yield None
+            else:
+                self._add(whole)
+            if self._value and self._depth <= 0:
+                value, self._value, self._depth = bytes(self._value), bytearray(), 0
+                yield read_destinations(_load(value))
+        self._line += rest
+        if len(self._line) + len(self._value) > self.limit:
+            raise MalformedError(f"a list of more than {self.limit} bytes")
+
+    def _add(self, line: bytes) -> None:
+        self._value += line + b"\n"
+        # Brackets count outside of text alone, which can't go on behind a line's end.
+        for token in _JSON_TOKEN.findall(line):
+            self._depth += (token in b"{[") - (token in b"}]")
 
 
 def read_destinations(data: object) -> DestinationList:
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import os
+import random
 import signal
 from collections.abc import Coroutine, Mapping
 from dataclasses import fields, replace
@@ -10,6 +11,7 @@
 
 from robinhill import config as configuration
 from robinhill.config import Config, OperatorFile
+from robinhill.listing import Pace
 from robinhill.net import logs, messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
@@ -34,7 +36,7 @@
 TAKE_ON_S = 0.7  # after SIGTERM: what still arrives in this time is taken
 FLUSH_S = 0.05  # for the last answers to leave
 HAND_OVER_S = 0.05  # how often what is owed is looked at while a successor takes it
-LIST_S = 1.5  # for discovery's first answer to a successor; its predecessor's list counts meanwhile
+LIST_S = 1.5  # for discovery's first answer, where clients wait for it; older lists count meanwhile
 START_S = 0.9  # an operator's call to a process that still starts is answered no after it
 STARTING = Answer(503, b"still starting\n")
 NO_DOOR = Answer(404, b"no operators' file is named, so there is no door\n")
@@ -52,8 +54,9 @@
         self.decider = Decider(
             config, self.supervisor, self.clock, self.figures, lambda: self.destinations.tell(Watch())
         )
+        pace = Pace(not config.settings.must_subscribe, random.Random(config.seed))
         self.destinations = Destinations(
-            config.discovery, config.known.generation, self.supervisor, self.decider.tell
+            config.discovery, config.known.generation, pace, self.clock, self.supervisor, self.decider.tell
         )
         self.door: Doorkeeper | None = None
         if config.operator:
@@ -109,6 +112,9 @@
         else:
             self.decider.start()
             self.destinations.start()
+            if not self.config.settings.must_subscribe:
+                # What the agent has counts as told from our first moment; the known list may be old.
+                await self._listed_once()
         if self.door:
             self.door.start()
         self.inbound.start(sock)
@@ -128,17 +134,21 @@
         else:
             self.decider.start()
         self.destinations.start()
-        try:
-            async with asyncio.timeout(LIST_S):
-                await self.decider.listed_once.wait()
-        except TimeoutError:
-            log.warning("list_awaited", extra={"seconds": LIST_S})
+        await self._listed_once()
         if told and (memory := await succession.ask("memory")):
             self.decider.recall(memory["decider"])
             if self.door and memory.get("door"):
                 self.door.recall(memory["door"])
             self.inbound.drain(memory["drained"])
 
+    async def _listed_once(self) -> None:
+        """Wait for discovery's first word, but no longer than a client's patience with a restart."""
+        try:
+            async with asyncio.timeout(LIST_S):
+                await self.decider.listed_once.wait()
+        except TimeoutError:
+            log.warning("list_awaited", extra={"seconds": LIST_S})
+
     def reload(self) -> None:
         """Take the file's new values; a faulty one changes nothing. Requests in flight go on as they are."""
         try:
--- /dev/null
+++ b/tests/test_destinations.py
@@ -0,0 +1,172 @@
+"""The watch on discovery: what silence is, when it is opened anew, and how its words are cut."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import orjson
+import pytest
+
+from robinhill import listing
+from robinhill.config import Address
+from robinhill.listing import Pace
+from robinhill.net import messages
+from robinhill.net.actor import Supervisor
+from robinhill.net.clock import Clock
+from robinhill.net.decider import Listed
+from robinhill.net.destinations import Destinations, Move, Watch
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+Handler = Callable[[asyncio.StreamWriter], Awaitable[None]]
+
+
+def told(generation: int) -> bytes:
+    entry = {"instanceId": 's-{"1\\', "hostPort": "127.0.0.1:9", "zone": "a", "machineType": "m"}
+    entry["lifecycle"] = "active"
+    return orjson.dumps({"generation": generation, "reset": True, "instances": [entry, entry]})
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+@pytest.mark.parametrize("indent", [False, True])
+def test_a_list_is_read_whole_wherever_it_is_torn_and_however_it_is_laid_out(indent: bool) -> None:
+    lists = [told(7), told(8)]
+    if indent:
+        lists = [orjson.dumps(orjson.loads(x), option=orjson.OPT_INDENT_2) for x in lists]
+    text = b"\n" + lists[0] + b"\n\n" + lists[1] + b"\n"
+    for cut in range(len(text)):
+        reader = messages.WatchReader(10_000)
+        words = [*reader.feed(text[:cut]), *reader.feed(text[cut:])]
+        assert [w and w.generation for w in words] == [None, 7, None, 8], cut
+
+
+def test_a_list_without_end_is_refused() -> None:
+    reader = messages.WatchReader(1_000)
+    with pytest.raises(messages.MalformedError):
+        for _ in range(100):
+            list(reader.feed(b'{"instances": [\n' + b" " * 20))
+
+
+def test_after_silence_the_next_call_comes_within_what_counts_as_told() -> None:
+    pace = Pace(False, random.Random(1))
+    pace.called(0)
+    pace.heard(10_000_000)  # and right after it the watch falls silent
+    now, calls = pace.silent_at(), 0
+    while (wait := pace.lost(now, silent=calls == 0)) is not None:
+        now += wait
+        pace.called(now)
+        now, calls = now + 20_000, calls + 1  # refused at once
+        assert calls < 100
+    assert calls >= 4 and pace.silent_at() <= 10_000_000 + listing.TOLD_US + 9_000_000
+    # one that merely ends is the module's matter
+    pace.heard(now)
+    assert pace.lost(now + 1, silent=False) is None
+
+
+class Played:
+    """Discovery, played by a script: what each connection gets; and the actor with what it reports."""
+
+    def __init__(self, *scripts: Handler) -> None:
+        self.scripts = list(scripts)
+        self.calls: asyncio.Queue[str] = asyncio.Queue()
+        self.reports: list[Listed] = []
+
+    async def __call__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.calls.put_nowait((await reader.readuntil(b"\r\n")).decode())
+        try:
+            await self.scripts.pop(0)(writer)
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def start(self, pushed: bool = False) -> Destinations:
+        self.server = await asyncio.start_server(self, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.supervisor = Supervisor()
+        pace = Pace(pushed, random.Random(1))
+        actor = Destinations(
+            Address("127.0.0.1", port), 41, pace, Clock(), self.supervisor, self.reports.append
+        )
+        actor.start()
+        return actor
+
+    async def call(self) -> str:
+        async with asyncio.timeout(10):
+            return await self.calls.get()
+
+    async def stop(self) -> None:
+        await self.supervisor.close()
+        self.server.close()
+
+
+async def _silent(writer: asyncio.StreamWriter) -> None:
+    writer.write(HEAD + chunk(told(43) + b"\n"))
+    await asyncio.Event().wait()
+
+
+async def _trickles(writer: asyncio.StreamWriter) -> None:
+    writer.write(HEAD + chunk(told(43) + b"\n"))
+    for byte in told(44) * 100:
+        writer.write(chunk(bytes([byte])))
+        await writer.drain()
+        await asyncio.sleep(0.01)
+
+
+async def _says_nothing(writer: asyncio.StreamWriter) -> None:
+    await asyncio.Event().wait()
+
+
+async def _ends(writer: asyncio.StreamWriter) -> None:
+    writer.write(HEAD + chunk(told(43) + b"\n") + b"0\r\n\r\n")
+
+
+@pytest.fixture
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The same decisions, sooner."""
+    for name, value in {"WORD_US": 100_000, "CALL_US": 100_000, "AGAIN_US": 10_000}.items():
+        monkeypatch.setattr(listing, name, value)
+
+
+@pytest.mark.parametrize("script", [_silent, _trickles, _says_nothing])
+def test_a_watch_without_whole_words_is_opened_anew_by_itself(quick: None, script: Handler) -> None:
+    async def play() -> None:
+        discovery = Played(script, _says_nothing)
+        (await discovery.start()).tell(Watch())
+        assert "after=41" in await discovery.call()
+        after = 41 if script is _says_nothing else 43
+        assert f"after={after}" in await discovery.call()
+        assert None not in [r.list for r in discovery.reports]  # a failed call would wait its turn
+        await discovery.stop()
+
+    asyncio.run(play())
+
+
+def test_a_watch_that_ends_is_the_modules_matter(quick: None) -> None:
+    async def play() -> None:
+        discovery = Played(_ends, _says_nothing)
+        actor = await discovery.start()
+        actor.tell(Watch())
+        await discovery.call()
+        async with asyncio.timeout(10):
+            while not discovery.reports or discovery.reports[-1].list:
+                await asyncio.sleep(0)
+        assert discovery.calls.empty()
+        await discovery.stop()
+
+    asyncio.run(play())
+
+
+def test_where_lists_are_pushed_the_agent_is_watched_unasked_and_always(quick: None) -> None:
+    async def play() -> None:
+        discovery = Played(_ends, _ends, _silent, _says_nothing)
+        actor = await discovery.start(pushed=True)
+        for after in (41, 43, 43, 43):
+            assert f"after={after}" in await discovery.call()
+        assert None not in [r.list for r in discovery.reports]
+        actor.tell(Move(Address("127.0.0.1", 9)))
+        await discovery.stop()
+
+    asyncio.run(play())
