Rest between jobs where many nodes wait for each other, and keep repeats of a key in place

A worker where own jobs waited now rests between two (_ended, _adapt; three jobs in line from all nodes together, so nothing changes for fleets of three), and held jobs go last once late, where late ones earn something.

A client's own retry of a keyed request comes under a new id: robinhill/keys.py remembers where its first may have run, and the module keeps to that group within the class's window. Statistics of no meaning of their own moved to means.py.

--- a/robinhill/api.py
+++ b/robinhill/api.py
@@ -102,6 +102,10 @@
         """Whether it may go to some workers only."""
         return self.kinds is not None or self.zones is not None
 
+    def group_of(self, worker: "Worker") -> int:
+        """The group of workers that drop each other's repeats of such a job; -1: all of them."""
+        return {Scope.ZONE: worker.zone, Scope.CELL: worker.cell}.get(self.scope, -1)
+
     def open_to(self, worker: "Worker") -> bool:
         """Whether the settings allow this class at a worker."""
         kinds, zones = self.kinds, self.zones
@@ -176,7 +180,11 @@
 
 @dataclass(slots=True)
 class Request:
-    """A job asked for by a client."""
+    """A job asked for by a client.
+
+    ``group``: an earlier request of its key may have run there and is repeated nowhere else before
+    ``group_until_us`` (0: there was none).
+    """
 
     job: int
     job_class: int
@@ -184,6 +192,8 @@
     tenant: int = 0
     work_hint_us: int = 0
     client_repeat: bool = False
+    group: int = -1
+    group_until_us: int = 0
 
 
 # Events
--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -12,60 +12,37 @@
 from typing import Any
 
 from robinhill import api
+from robinhill.means import PRIOR, Mean, Weighed, low
 
 UNKNOWN_JOB_US = 1_000_000.0  # the design page: 1 job a second where no speed is known
 BACK_OFF = 64.0  # an age counts so much less for a class just turned away: picked only if most others were
-PRIOR_JOBS = 2.0  # own jobs after which a worker's own mean counts as much as its kind's
 CALL_US = 50_000  # spread of first calls to the directory for each node: a call's time there
 HOLD = 1.5  # how far a job may wait into what its own length, where no hint tells it, adds to its aim
 TRUST_US = 250_000  # an open connection to a worker not heard from for so long proves nothing
 OVERDUE = 2.0  # of its class's usual time: a job that runs longer, none ending there meanwhile, casts doubt
 EJECT_US = 4_000_000  # the longest time out; or half the time in which workers warm up, if longer
 SILENT_FAULTS = 3  # a worker that answers no probe stays out as long as after so many failures
+IN_LINE = 3.0  # own jobs of all nodes at a worker where they wait; below one each, it rests between two
 BACK_US = 500_000  # between the first jobs of all nodes to a worker taken back, though it is cold
 CHEAP_WASTE = 0.1  # price of waste under which jobs past use are withdrawn: gains at 0.02, loses at 0.2
 
 
-@dataclass(slots=True, eq=False)
-class _Mean:
-    """A mean over the window, leaning on a prior the more the fewer and older its samples."""
-
-    value: float = 0.0
-    count: float = 0.0  # samples, as far as they still weigh
-    at_us: int = 0
-    factor: float = 1.0  # of a zone: how much ages count there
-    fresh: float = 1.0  # the same for a worker without an open connection
-
-    def add(self, now: int, value: float, window_us: int) -> None:
-        self.count = 1.0 + self.count * exp((self.at_us - now) / window_us)
-        self.at_us = now
-        self.value += (value - self.value) / self.count
-
-    def lean(self, prior: float) -> float:
-        return (self.count * self.value + PRIOR_JOBS * prior) / (self.count + PRIOR_JOBS)
-
-
-def _low(before: float, sample: float) -> float:
-    """Follow a low quantile: quickly down, slowly up."""
-    return before + (0.05 if sample > before else 0.3) * min(sample - before, 1.0)
-
-
 @dataclass(slots=True, eq=False)
 class _Seat:
     """What this node knows of one worker from its own jobs."""
 
     entry: api.Worker
     rank: float
-    zone: _Mean  # how long own jobs wait in its zone
+    zone: Weighed  # how long own jobs wait in its zone
     last: int = 0  # number of the own send that went here last; far back if none did
-    own: _Mean = field(default_factory=_Mean)  # time from send to completion of own jobs here
+    own: Mean = field(default_factory=Mean)  # time from send to completion of own jobs here
     time_us: float = UNKNOWN_JOB_US  # the same, leaning on the worker's kind; its inverse is the speed
     lnq: float = -1.0
     cold_us: int = 0  # cold until then at most
     shut_us: float = 0  # gets nothing before: cold, ejected, or not ready at all
     out: set[tuple[int, int]] = field(default_factory=set)  # attempts out
     waiting: "_Flight | None" = None  # of these, the one not told to have started
-    limit: float = 1.0  # how many own jobs it takes without making them wait
+    limit: float = 1.0  # how many own jobs it takes without making them wait; below 1, one now and then
     base_us: float = 0.0  # shortest time from send to start: the way there
     quick: float = 0.0  # time for a unit of hinted work at its quickest, from own jobs here
     unit: float = 0.0  # the same, leaning on the kind of machine
@@ -79,6 +56,7 @@
     doubt_us: int = 0  # its answers seem to be lost: until then it is picked only if most others can't be
     asked_us: int = 0  # since when it is being probed; 0: it is not
     unanswered: int = 0  # probes of these that failed
+    rest_us: int = 0  # gets nothing before, as own jobs waited there
     back_us: int = 0  # when it was last taken back
     credit: float = 0.0  # while it is cold: how far it has come to the next own job, and as of when
     credit_us: int = 0
@@ -99,6 +77,7 @@
     group: int = -1  # where a keyed job that may have run can be repeated
     group_until_us: int = 0
     order: float = 0.0  # held jobs of the most worth for their work go first
+    late_us: int = 0  # one that starts after it will be late
 
 
 @dataclass(slots=True, eq=False)
@@ -128,12 +107,13 @@
         self.rate, self.priced_rate = 1e6 / settings.cold_us, 0.0  # own jobs a second; when last priced
         self.mean_us, self.class_us = 0.0, [0.0] * len(settings.classes)  # smoothed job time, of each class
         self.usual_us = [0.0] * len(settings.classes)  # the lowest class_us seen, rising slowly
-        self.kinds: dict[int, _Mean] = {}  # job time by kind of machine
-        self.served, self.ready, self.given_up = _Mean(), 1, 0  # own completions; usable workers; given up
+        self.kinds: dict[int, Mean] = {}  # job time by kind of machine
+        self.served, self.ready, self.given_up = Mean(), 1, 0  # own completions; usable workers; given up
+        self.least = min(1.0, max(0.2, IN_LINE / settings.fleet_size))  # the lowest limit of a worker
         self.thin = False  # fewer own jobs than workers in the window, as of the last pick
         self.quick: dict[int, float] = {}  # low quantile of time taken over work by kind of machine
-        self.zones: dict[int, _Mean] = {}  # wait of own jobs by zone
-        self.unit, self.hint_us = _Mean(), 0.0  # job time on a worker of weight 1; smoothed hint, if any
+        self.zones: dict[int, Weighed] = {}  # wait of own jobs by zone
+        self.unit, self.hint_us = Mean(), 0.0  # job time on a worker of weight 1; smoothed hint, if any
         self.full_us = [0] * len(settings.classes)  # the longest time left seen: that of a first try
         self.subscribed, self.list_tries, self.wake_us = False, 0, 0  # wake: when held jobs are looked at
         self.call_us = min(settings.ask_every_us // 2, CALL_US * settings.fleet_size)
@@ -181,7 +161,7 @@
                 seat = None
             known = seat is not None and entry.started_us <= seat.entry.started_us
             if seat is None:
-                zone = self.zones.setdefault(entry.zone, _Mean())
+                zone = self.zones.setdefault(entry.zone, Weighed())
                 seat = self.seats[entry.address] = _Seat(entry, self.random.random(), zone)
             seat.entry, turn = entry, max(len(listed), len(self.seats))
             seat.cold_us = entry.started_us + self.s.cold_us if entry.started_us else 0
@@ -243,8 +223,9 @@
         rate = self.rate * exp((self.rate_us - now) / window) + 1e6 / window
         self.rate, self.rate_us = max(1e6 / window, rate), now
         job = self.jobs[request.job] = _Job(request)
-        # A client's further try has spent part of its time: how much shows against a first try's. If none was
-        # given up here that it may be of, it is the first of a client that waits for less time than others.
+        if now < request.group_until_us:  # an earlier request of its key may have run
+            job.ran, job.group, job.group_until_us = True, request.group, request.group_until_us
+        # With less time than a first try it is a further one, which has spent the rest, if one was given up.
         self.full_us[number] = full = max(self.full_us[number], left)
         if (spent := full - left) > self.tick_us:
             spent *= self.given_up > 0 or request.client_repeat
@@ -265,6 +246,7 @@
         useful = aim + (0 if hint else int(HOLD * max(0.0, klass.stretch - 1) * self.usual_us[number]))
         useful = max(aim, int(left - expected)) if klass.late_worth else useful
         job.order, job.until_us, job.end_us = -worth, now + min(left - 1, useful), now + left
+        job.until_us, job.late_us = min(job.until_us, job.group_until_us or job.until_us), int(now + aim)
         self._give_up(job) if shed else self._place(now, job)
 
     def _place(self, now: int, job: _Job) -> None:
@@ -280,16 +262,17 @@
     def _room(self, now: int, seat: _Seat) -> bool:
         """Whether own jobs show room here; reports and probes play no part."""
         # An own job waits: full, frozen or gone. Lost jobs take no room. Ejected before: one job.
-        out = sum(not 0 < self.silence_us <= now - (self.flights[x].heard_us or now) for x in seat.out)
-        return not seat.waiting and out < (1 if seat.faults else seat.limit)
+        limit, silence = (1 if seat.faults else seat.limit), self.silence_us or inf
+        heard = (self.flights[x].heard_us or now for x in seat.out)
+        return not seat.waiting and (len(seat.out) < limit or sum(now - x < silence for x in heard) < limit)
 
     def _fits(self, now: int, seat: _Seat, job: _Job) -> bool:
         """Whether this job may go to a worker with room: in time as far as a hint tells, no effect twice."""
-        klass, hint = self.s.classes[job.request.job_class], job.request.work_hint_us
+        klass, hint = self._class(job), job.request.work_hint_us
         if hint and not klass.late_worth and now + seat.unit * hint > job.aim_us:
             return False  # even its quickest would miss the aim
         anywhere = not job.ran or klass.repeat is api.Repeat.SAFE
-        return anywhere or (self._group(job, seat) == job.group and now < job.group_until_us)
+        return anywhere or (self._class(job).group_of(seat.entry) == job.group and now < job.group_until_us)
 
     def _pick(self, now: int, job: _Job) -> _Seat | None:
         """Age-priced rotation: the lowest x ln q among the eligible; equal costs go to the larger age."""
@@ -299,20 +282,20 @@
                 self._price(seat)
         if not self.sends % 8:
             self._weigh()
-        bound = (klass := self.s.classes[job.request.job_class]).bound
+        bound = (klass := self._class(job)).bound
         seen = -expm1((self.began_us - now) / self.s.cold_us) or 1.0  # of the window: little after a start
-        risky, pace = klass.repeat is api.Repeat.UNSAFE, self._pace(now, seen)
+        risky, pace, best = klass.repeat is api.Repeat.UNSAFE, self._pace(now, seen), None
         # Own jobs come too seldom to learn from: one failure tells, unsafe jobs go where others ended well.
         thin = self.thin = 1e6 * self.ready * seen > self.rate * self.s.cold_us
         sends, hint, aim, told = self.sends, 1.5 * job.request.work_hint_us, job.aim_us, self.s.tells_start
         keep = self.s.keepalive_us - self.tick_us if self.s.handshake_price else inf
-        best, best_key, best_rank, best_cost, full = None, (9, 0.0, 0, 0.0), 9, 0.0, True
+        best_key, best_rank, best_cost, full = (9, 0.0, 0, 0.0), 9, 0.0, True
         for seat in self.seats.values():
             if now < seat.cold_us and not self._earned(now, seat, pace):
                 continue
             cost = (sends - seat.last) * seat.lnq * seat.zone.factor
             # What follows only raises the cost; a bound class goes to what is open to it alone.
-            if (cost > best_cost and not best_rank) or now < seat.shut_us or (
+            if (cost > best_cost and not best_rank) or now < seat.shut_us or now < seat.rest_us or (
                     bound and not klass.open_to(seat.entry)) or (seat.out and not self._room(now, seat)):
                 continue
             full = False
@@ -355,18 +338,18 @@
             share = max(0.0, 1 - (1 - held) * self.asked_us / self.free_us)
             self.spare = share * (1 - held) / (held * (1 - share)) if 0 < held < 1 else 1.0
 
-    def _group(self, job: _Job, seat: _Seat) -> int:
-        groups = {api.Scope.ZONE: seat.entry.zone, api.Scope.CELL: seat.entry.cell}
-        return groups.get(self.s.classes[job.request.job_class].scope, -1)
+    def _class(self, job: _Job) -> api.JobClass:
+        return self.s.classes[job.request.job_class]
 
     def _send(self, now: int, job: _Job, seat: _Seat) -> None:
         key, seat.last = (job.request.job, job.tries), self.sends
         job.tries, job.pending, self.sends = job.tries + 1, job.pending + 1, self.sends + 1
-        flight = self.flights[key] = _Flight(seat, now, job, len(seat.out), self._group(job, seat))
+        group = (klass := self._class(job)).group_of(seat.entry)
+        flight = self.flights[key] = _Flight(seat, now, job, len(seat.out), group)
         seat.out.add(key)
         used, seat.idle_us = seat.idle_us, now
         seat.waiting, seat.credit = flight if self.s.tells_start else None, 0.0
-        klass, hint = self.s.classes[job.request.job_class], job.request.work_hint_us
+        hint = job.request.work_hint_us
         # With a hint it is known when an answer turns worthless: its place serves another then.
         useful = max(1, int(job.aim_us + 0.25 * klass.stretch * hint) - now)
         timeout = useful if hint and not klass.late_worth else 0
@@ -384,7 +367,7 @@
         """One final answer; a refusal only where it is true that trying again does no harm."""
         self.jobs.pop(job.request.job, None)
         self.given_up += 1
-        klass = self.s.classes[job.request.job_class]
+        klass = self._class(job)
         keyed_all = (klass.repeat, klass.scope) == (api.Repeat.KEYED, api.Scope.ALL)
         if (job.ran or job.pending) and klass.repeat is not api.Repeat.SAFE and not keyed_all:
             return self.out.append(api.Fail(job.request.job))
@@ -407,13 +390,13 @@
 
     def _adapt(self, now: int, flight: _Flight, waited_us: float, delay_us: float) -> None:
         """The limit grows while jobs start at once and falls when they wait (AIMD)."""
-        seat, aim = flight.seat, self.s.classes[flight.job.request.job_class].aim_us
+        seat, aim = flight.seat, self._class(flight.job).aim_us
         self.shed = min(0.8, max(0.0, self.shed + ((waited_us > aim) - 0.5) / 16))
         seat.zone.add(now, min(aim, max(0.0, delay_us)), self.s.cold_us)
         if waited_us >= aim / 4:
-            seat.limit = float(max(1, min(seat.limit, flight.others)))
+            seat.limit = max(self.least, min(seat.limit, flight.others or 0.7 * seat.limit))
         elif flight.others + 1 >= seat.limit - 0.5:
-            seat.limit += 1.0
+            seat.limit = seat.limit + 1.0 if seat.limit >= 1 else min(1.0, seat.limit + 0.15)
 
     def _ended(self, now: int, event: api.AttemptEnded) -> None:
         flight = self.flights.pop((event.job, event.attempt), None)
@@ -423,6 +406,8 @@
         seat.out.discard((event.job, event.attempt))
         seat.waiting = None if seat.waiting is flight else seat.waiting
         job.pending -= 1
+        if seat.limit < 1 and outcome is not api.Outcome.FULL:  # many nodes' jobs wait for each other there
+            seat.rest_us = now + int((1 / seat.limit - 1) * seat.time_us)
         there = self.seats.get(seat.entry.address, seat)
         there.idle_us = now  # a connection has fallen idle there
         if there.shut_us == inf:
@@ -431,7 +416,7 @@
         if event.final:
             self.jobs.pop(event.job, None)
         elif event.job in self.jobs:
-            klass = self.s.classes[job.request.job_class]
+            klass = self._class(job)
             # Where workers shed work that they had begun, unsafe jobs ran twice after a 'full'.
             if not outcome.never_ran or (outcome is api.Outcome.FULL and self.s.full_may_have_run):
                 until = flight.sent_us + klass.memory_us
@@ -481,7 +466,7 @@
         seat.failed += (1 - seat.failed) / 4 * (outcome is api.Outcome.ERROR)
         broken = outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
         if outcome is api.Outcome.CONNECT_FAILED and self.thin:  # a lost zone is tried worker by worker else
-            seat.zone.add(now, self.s.classes[flight.job.request.job_class].aim_us, self.s.cold_us)
+            seat.zone.add(now, self._class(flight.job).aim_us, self.s.cold_us)
         if (broken or seat.errors > 0.4 or seat.faults) and now >= seat.shut_us:
             self._eject(now, seat, outcome.value)
 
@@ -513,7 +498,7 @@
         self._eject(now, seat, "silent")
         for key in sorted(seat.out):
             job, flight = self.flights[key].job, self.flights[key]
-            klass = self.s.classes[job.request.job_class]
+            klass = self._class(job)
             if klass.repeat is api.Repeat.SAFE and not flight.dropped and key[0] in self.jobs:
                 flight.dropped = True
                 self.out.append(api.Cancel(*key))
@@ -534,9 +519,9 @@
             # No word of starts: what exceeds the time of such a job at its quickest was waiting.
             klass, work, kind = self.s.classes[number], hint or self.class_us[number], seat.entry.kind
             ratio, own = took_us / max(1.0, work), seat.own.count
-            quick = self.quick[kind] = _low(self.quick.get(kind, ratio), ratio)
-            seat.quick = _low(seat.quick or ratio, ratio)
-            seat.unit = (own * seat.quick + PRIOR_JOBS * quick) / (own + PRIOR_JOBS)
+            quick = self.quick[kind] = low(self.quick.get(kind, ratio), ratio)
+            seat.quick = low(seat.quick or ratio, ratio)
+            seat.unit = (own * seat.quick + PRIOR * quick) / (own + PRIOR)
             # Without hints a lasting jam became normal: measured against the lowest mean of such jobs.
             waited = took_us - 1.3 * seat.unit * work if hint else took_us - 1.3 * self.usual_us[number]
             late = hint and took_us > klass.aim_us + klass.stretch * hint
@@ -544,7 +529,7 @@
 
     def _smooth(self, now: int, seat: _Seat, took_us: float) -> None:
         """Smooth the worker's time for a job over the window; its inverse is the speed."""
-        kind, weighted = self.kinds.setdefault(seat.entry.kind, _Mean()), took_us * seat.entry.weight
+        kind, weighted = self.kinds.setdefault(seat.entry.kind, Mean()), took_us * seat.entry.weight
         for mean, value in ((seat.own, took_us), (kind, took_us), (self.unit, weighted)):
             mean.add(now, value, self.s.cold_us)
         self._price(seat)
@@ -569,14 +554,20 @@
         """Give held jobs their worker, the most worth first, or their answer in time."""
         held, self.held = self.held, []
         self.no_room.clear()
+        free = held and any(now >= x.shut_us and now >= x.rest_us and (not x.out or self._room(now, x))
+                            for x in self.seats.values())
         for item in held:
-            if item[2].request.job_class in self.no_room and now < item[2].until_us:
+            if (not free or item[2].request.job_class in self.no_room) and now < item[2].until_us:
                 self.held.append(item)  # a long queue must not cost a pick for each job at each event
             elif self.jobs.get(item[1]) is item[2]:
                 self._place(now, item[2])
 
     def _timer(self, now: int, event: api.TimerFired) -> None:
         if event.tag == "held":
+            if late := [job for _, _, job in self.held if now > job.late_us]:  # worth less: others go first
+                for job in late:
+                    job.late_us, job.order = job.end_us, job.order * (self._class(job).late_worth or 1.0)
+                self.held = sorted((job.order, number, job) for _, number, job in self.held)
             self._release(now)
             if self.held:
                 self._wake(now, min(job.until_us for _, _, job in self.held))
@@ -599,8 +590,8 @@
         job, number, due = flight.job, flight.job.request.job_class, inf
         klass, waiting = self.s.classes[number], flight.seat.waiting is flight
         safe, keyed = klass.repeat is api.Repeat.SAFE, klass.repeat is api.Repeat.KEYED
-        room = safe or (keyed and any(now >= x.shut_us and not x.out and self._group(job, x) == flight.group
-                                      for x in self.seats.values()))
+        room = safe or (keyed and any(now >= x.shut_us and not x.out and klass.group_of(x.entry) ==
+                                      flight.group for x in self.seats.values()))
         if waiting and room and key[1] == 0 and now < job.until_us:
             due = now  # own jobs can't tell where those of others are; a start that does not come does
         elif waiting and not klass.late_worth:  # a jam must not be spent on late answers
--- a/robinhill/memory.py
+++ b/robinhill/memory.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from robinhill import api
-from robinhill.logic import Balancer, _Flight, _Job, _Mean, _Seat
+from robinhill.logic import Balancer, _Flight, _Job, _Seat
+from robinhill.means import Mean, Weighed
 
 Json = dict[str, Any]
 
@@ -56,9 +57,10 @@
     """Go on from there; to be called once the list is known."""
     _set(balancer, {name: told["own"][name] for name in LEARNED if name in told["own"]})
     _set(balancer.unit, told["unit"])
-    for means, pairs in ((balancer.kinds, told["kinds"]), (balancer.zones, told["zones"])):
-        for number, values in pairs:
-            _set(means.setdefault(number, _Mean()), values)
+    for number, values in told["kinds"]:
+        _set(balancer.kinds.setdefault(number, Mean()), values)
+    for number, values in told["zones"]:
+        _set(balancer.zones.setdefault(number, Weighed()), values)
     balancer.quick.update(told["quick"])
     _set(balancer.served, told.get("served", {}))
     for address, values in told["seats"].items():
@@ -99,7 +101,8 @@
     for there in told["flights"]:
         seat = balancer.seats.get(there["address"])
         if seat is None:  # it has left the list
-            seat = _Seat(api.Worker(there["address"], state=api.WorkerState.GONE), 0.0, _Mean(), shut_us=inf)
+            gone = api.Worker(there["address"], state=api.WorkerState.GONE)
+            seat = _Seat(gone, 0.0, Weighed(), shut_us=inf)
         key = (number, there["attempt"])
         flight = balancer.flights[key] = _Flight(seat, now, job, 0, -1)
         _set(flight, there["values"])
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
-from robinhill import api, memory
+from robinhill import api, keys, memory
 from robinhill.config import Config
 from robinhill.logic import Balancer
 from robinhill.net import endpoint as ep
@@ -152,6 +152,7 @@
         self.jobs: dict[str, int] = {}  # the wire's ids are text, the module's numbers
         # Ids of late. An endpoint knows a request in the form it got first, and turns away any other.
         self.seen: dict[str, None] = {}
+        self.keys = keys.Keys()
         self.next_number = 1
         self._timers: dict[Due, int] = {}  # that are set, and when they are due
         # Requests on their way to another process: what is said of one waits until it is there, or stays.
@@ -264,12 +265,12 @@
         if self.tape and taken.caller is None:  # else the door has told of it
             self.tape.arrived(request, taken.arrived_us, "")
         left_us = max(1, deadline_us - self.clock.now_us())
-        tenant = self.tenants.get(request.tenant, 0)
-        self._decide(
-            api.Arrived(
-                api.Request(job, request.job_class, left_us, tenant, request.cost_us, request.client_repeat)
-            )
-        )
+        tenant = self.tenants.get(request.tenant, len(self.tenants))  # one that is not named has no share
+        repeat = request.client_repeat
+        asked = api.Request(job, request.job_class, left_us, tenant, request.cost_us, repeat)
+        if request.key and (place := self.keys.place(taken.arrived_us, request.job_class, request.key)):
+            asked.group, asked.group_until_us = place.group, place.until_us
+        self._decide(api.Arrived(asked))
 
     def _send(self, action: api.Send) -> None:
         held = self.held[action.job]
@@ -281,10 +282,20 @@
         held.began_us = 0
         held.out += 1
         final = until_us >= held.deadline_us
+        self._remember(held.request, (action.job, number), action.address)
         if self.door and number == 0:
             self.door(Placed(held.request))
         self.endpoints[action.address].tell(ep.Dispatch(action.job, number, held.request, until_us, final))
 
+    def _remember(self, request: JobRequest, attempt: tuple[int, int], address: str) -> None:
+        """From now on it may run: where a repeat of its key is dropped."""
+        klass = self.config.settings.classes[request.job_class]
+        if request.key and klass.repeat is api.Repeat.KEYED and address in self.destinations:
+            now = self.clock.now_us()
+            group = klass.group_of(self._worker(self.destinations[address]))
+            place = keys.Place(group, now + klass.memory_us)
+            self.keys.sent(now, attempt, (request.job_class, request.key), place)
+
     def _cancel(self, job: int, attempt: int) -> None:
         held = self.held.get(job)
         if (
@@ -301,6 +312,10 @@
         if self.tape:
             self.tape.attempted(held.request, endpoint, ended.outcome, ended.took_us, held.began_us)
         held.endings.append(f"{endpoint} {ended.outcome.value} {ended.took_us // 1000}ms")
+        never_ran = ended.outcome.never_ran and not (
+            ended.outcome is api.Outcome.FULL and self.config.settings.full_may_have_run
+        )
+        self.keys.ended((ended.job, ended.attempt), never_ran)
         if ended.outcome is api.Outcome.FULL:
             held.returned.append(endpoint)
         if ended.result is not None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -572,3 +572,34 @@
     started(node, 1)
     node.do(api.JobStarted(1, 1))
     assert only(node.end(1, O.RESET, 3 * S, attempt=1, after_us=4500 * MS), api.Refuse)
+
+
+def test_where_own_jobs_wait_a_worker_rests_between_two() -> None:
+    """Eight nodes with one job each at a worker wait for each other there (Kalevi, overload, big-1)."""
+
+    def pause(waits_us: int) -> int:
+        node = Node(1, tells_start=True, fleet_size=8)
+        for job in range(1, 8):
+            while not only(node.ask(10 * MS), api.Send):
+                pass
+            started(node, node.jobs, 5 * MS + waits_us * (job > 1))
+            node.end(node.jobs, after_us=20 * MS)
+        before = node.now
+        while not only(node.ask(10 * MS), api.Send):
+            pass
+        return node.now - before
+
+    assert pause(0) == 10 * MS and pause(60 * MS) > 50 * MS
+
+
+def test_of_held_jobs_those_that_are_late_go_last() -> None:
+    """Answers that were late already took the places of others that could be in time (Kalevi, overload)."""
+    for late_worth, first in ((0.2, 3), (0.9, 2)):
+        classes = (klass(worth=3.0, late_worth=late_worth), klass(worth=2.0, late_worth=0.5))
+        node = Node(1, tells_start=True, classes=classes, value_by_work=True)
+        node.ask()
+        node.ask(MS, job_class=0)
+        node.do(api.TimerFired("held"), 110 * MS)
+        node.ask(MS, job_class=1)
+        node.do(api.TimerFired("held"), MS)
+        assert only(started(node, 1, MS), api.Send)[0].job == first
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,6 +6,7 @@
 import pytest
 
 from robinhill import api
+from robinhill.keys import KEPT, Keys, Place
 
 from .conftest import MS, Node, S, klass, only, sent_to, settings
 from .fleet import START, play
@@ -143,6 +144,34 @@
     assert sent_to(node.end(1, O.ERROR)) == "c"
 
 
+def test_a_clients_repeat_of_a_key_stays_where_it_may_have_run() -> None:
+    """A client's own retry comes under a new id: to the module it is another job."""
+    for zone in (0, 1):
+        node = keyed_node(api.Scope.ZONE)
+        for _ in range(4):
+            there = sent_to(node.ask(group=zone, group_until_us=node.now + 50 * MS))
+            assert int(there[1:]) % 2 == zone
+    assert node.ask(group=1 - zone, group_until_us=node.now), "its window is over: anywhere"
+    for worker in range(0, 8, 2):
+        node.listed(api.ListKind.CHANGES, api.Worker(f"w{worker}", zone=0, state=api.WorkerState.GONE))
+    assert not only(node.ask(group=0, group_until_us=node.now + 50 * MS), api.Send)
+    actions = node.do(api.TimerFired("held"), 51 * MS)
+    assert only(actions, api.Fail) and not only(actions, api.Refuse), "its first may have run: no promise"
+
+
+def test_keys_are_bound_by_the_first_attempt_that_may_have_run() -> None:
+    known, name = Keys(), (2, "k")
+    known.sent(0, (1, 0), name, Place(3, 100))
+    known.sent(10, (1, 1), name, Place(4, 110))  # a later one does not stretch the window
+    assert known.place(99, *name) == Place(3, 100) and known.place(100, *name) is None
+    known.sent(200, (2, 0), name, Place(4, 300))
+    known.ended((2, 0), never_ran=True)
+    assert known.place(201, *name) is None and known.place(201, 1, "k") is None
+    for number in range(KEPT + 1):
+        known.sent(0, (number, 0), (0, str(number)), Place(1, 1000))
+    assert known.place(1, 0, "0") is None and known.place(1, 0, str(KEPT)) == Place(1, 1000)
+
+
 # 'Full' is no proof
 
 
