--- a/robinhill/cordon/book.py
+++ b/robinhill/cordon/book.py
@@ -59,14 +59,16 @@
         A cordon of what is not listed holds once it comes. A worker that leaves the list is not lifted.
         """
         before = self._held
-        self.workers = dict(workers)
-        self._matched = {}
-        for worker_id, place in self.workers.items():
-            for target in targets_of(worker_id, place):
-                self._matched.setdefault(target, set()).add(worker_id)
+        if self.workers != workers:
+            self.workers = dict(workers)
+            self._matched = {}
+            for worker_id, place in self.workers.items():
+                for target in targets_of(worker_id, place):
+                    self._matched.setdefault(target, set()).add(worker_id)
         self._standing = {target: found for target, value in items if (found := reasons(value, now_us))}
         self._good = self._in_budget()
-        self._held = {w: held for w in sorted(self.workers) if (held := self._reasons_of(w))}
+        named: set[str] = set().union(*(self.matched(target) for target in self._standing))
+        self._held = {w: held for w in sorted(named) if (held := self._reasons_of(w))}
         cordoned = tuple(sorted(self._held.keys() - before.keys()))
         lifted = tuple(sorted((before.keys() & self.workers.keys()) - self._held.keys()))
         back = {w: us for w, us in self._back.items() if w in self.workers and w not in self._held}
--- a/robinhill/cordon/value.py
+++ b/robinhill/cordon/value.py
@@ -104,10 +104,11 @@
 
     Where an ID was written twice at once, both stand and the one that lasts longest speaks for both.
     """
+    standing = [e for e in value.entries if not e.reason.ended(now_us)]
+    if len(standing) < 2:
+        return tuple(standing)
     longest: dict[str, Entry] = {}
-    for entry in value.entries:
-        if entry.reason.ended(now_us):
-            continue
+    for entry in standing:
         other = longest.get(entry.reason.id)
         if other is None or _lasts(entry) > _lasts(other):
             longest[entry.reason.id] = entry
