--- a/robinhill/mesh/replica.py
+++ b/robinhill/mesh/replica.py
@@ -33,9 +33,8 @@
 
 LARGEST_WRITE = LARGEST_TAKE // 4  # bytes of a value; values written apart may add up
 ROOM_TO_TAKE = 2  # times a kind's bound: each side of a partition may have filled its own
-MOST_BYTES = 64 << 20  # of keys and values altogether: the bounds by number alone don't bound memory
+MOST_BYTES = 16 << 20  # of keys and values of a kind: a bound by number alone doesn't bound memory
 UNKNOWN_RECORDS = 4_096  # of all kinds that this process does not know
-UNKNOWN_BYTES = 8 << 20
 SPAN_US = 10_000_000  # long next to how far looks at digests are apart, short next to all lifetimes
 MOST_COLLECTED = 1_000  # records a call: some milliseconds
 UNKNOWN = "unknown"
@@ -55,14 +54,14 @@
         self._now_us = 0
         self._shelves: dict[str, Shelf] = {}
         for kind in kinds:
-            if kind.name in self._shelves or not 0 < len(kind.name) <= LONGEST_KIND or "\0" in kind.name:
-                raise ValueError(f"a kind can't be named {kind.name!r}, or is named so twice")
+            taken = kind.name in ("", UNKNOWN, *self._shelves)
+            if taken or len(kind.name) > LONGEST_KIND or "\0" in kind.name:
+                raise ValueError(f"a kind can't be named {kind.name!r}, or not twice")
             if not SPAN_US <= kind.lifetime_us <= LONGEST_LIFETIME_US or kind.bound < 1:
                 raise ValueError(f"kind {kind.name} has a lifetime or bound that can't be kept")
             self._shelves[kind.name] = Shelf(kind)
         self._unknown = Shelf(None)
         self._count = 0
-        self._bytes = 0
         self._sums = digests.Sums()
         self._in_range: list[set[Held]] = [set() for _ in range(digests.RANGES)]
         self._spans: dict[int, dict[Held, None]] = {}  # who is over with which span
@@ -231,39 +230,40 @@
         held = shelf.held.get(place)
         evicts = shelf.kind is None or shelf.kind.evict is not None
         bound = shelf.kind.bound if shelf.kind else UNKNOWN_RECORDS
+        grows = size_of(record) - (size_of(held.record) if held is not None else 0)
+        crowded = not evicts and grows > 0 and shelf.bytes + grows > MOST_BYTES
+        if crowded or len(record.value) > LARGEST_TAKE:
+            raise StateFull(f"{record.kind} {record.key!r} is too large beside {shelf.bytes} bytes, refused")
         full = held is None and len(shelf.held) >= (bound if evicts else room * bound)
         if full and evicts:
             first = shelf.first()
             if shelf.rank(record, place) < shelf.rank(first.record, first.place):
                 return False
+            self._drop(first)
         elif full:
             for over in [h for h in shelf.held.values() if h.record.until_us <= self._now_us]:
                 self._drop(over)
             if len(shelf.held) >= room * bound:
                 raise StateFull(f"{len(shelf.held)} records of {record.kind} are held, one more refused")
-        grows = size_of(record) - (size_of(held.record) if held is not None else 0)
-        if len(record.value) > LARGEST_TAKE or (grows > 0 and self._bytes + grows > MOST_BYTES):
-            raise StateFull(f"{record.kind} {record.key!r} is too large beside {self._bytes} bytes, refused")
         if held is None:
             held = Held(record, shelf, place, digests.range_of(record.kind, record.key))
             self._in_range[held.range].add(held)
             self._count += 1
         else:
             self._unspan(held)
-        self._bytes += shelf.put(held, record)
+        shelf.put(held, record)
         held.value = value
         self._sums.change(held.range, held.hash, new_hash := digests.hash_of(record))
         held.hash = new_hash
         self._span(held)
         self._logged(held)
         shelf.ranked(held)
-        while evicts and (len(shelf.held) > bound or (shelf.kind is None and shelf.bytes > UNKNOWN_BYTES)):
+        while evicts and shelf.bytes > MOST_BYTES:
             self._drop(shelf.first())
         return held.seq >= 0
 
     def _drop(self, held: Held) -> None:
         held.shelf.drop(held)
-        self._bytes -= size_of(held.record)
         self._count -= 1
         self._in_range[held.range].remove(held)
         self._sums.change(held.range, held.hash, 0)
--- a/robinhill/mesh/shelves.py
+++ b/robinhill/mesh/shelves.py
@@ -1,6 +1,7 @@
 """The records of one kind in one copy: decoded once, counted, in order, and who goes when it is full."""
 
 import heapq
+from bisect import bisect_left, insort
 from typing import Any
 
 from robinhill.mesh.words import Kind, Record
@@ -37,6 +38,7 @@
         self.held: dict[str, Held] = {}
         self.bytes = 0
         self._heap: list[tuple[Any, str, int]] | None = None  # by who goes first; made when it is first full
+        self._order: list[str] | None = None  # keys in order; made when they are first read
         self._live: list[tuple[str, object]] | None = None
         self._live_from_us = 0
         self._live_until_us = 0
@@ -44,17 +46,21 @@
     def place(self, kind: str, key: str) -> str:
         return key if self.kind is not None else f"{kind}\0{key}"
 
-    def put(self, held: Held, record: Record) -> int:
-        """Let ``held`` hold ``record`` from now on; returns by how many bytes the shelf grew."""
-        grew = size_of(record) - (size_of(held.record) if held.place in self.held else 0)
+    def put(self, held: Held, record: Record) -> None:
+        """Let ``held`` hold ``record`` from now on."""
+        self.bytes += size_of(record)
+        if held.place in self.held:
+            self.bytes -= size_of(held.record)
+        elif self._order is not None:
+            insort(self._order, held.place)
         self.held[held.place] = held
-        self.bytes += grew
         held.record = record
         self._live = None
-        return grew
 
     def drop(self, held: Held) -> None:
         del self.held[held.place]
+        if self._order is not None:
+            del self._order[bisect_left(self._order, held.place)]
         self.bytes -= size_of(held.record)
         self._live = None
 
@@ -92,8 +98,10 @@
     def live(self, now_us: int) -> list[tuple[str, object]]:
         """Keys and values that count at ``now_us``, in key order."""
         if self._live is None or not self._live_from_us <= now_us < self._live_until_us:
-            counts = sorted((p, h) for p, h in self.held.items() if h.record.until_us > now_us)
-            self._live = [(place, self.value(h)) for place, h in counts]
+            if self._order is None:
+                self._order = sorted(self.held)
+            counts = [h for h in map(self.held.__getitem__, self._order) if h.record.until_us > now_us]
+            self._live = [(h.place, self.value(h) if h.value is UNREAD else h.value) for h in counts]
             self._live_from_us = now_us
-            self._live_until_us = min((h.record.until_us for _, h in counts), default=now_us + 1)
+            self._live_until_us = min((h.record.until_us for h in counts), default=now_us + 1)
         return self._live.copy()
