Tell sightings apart by what they are about, and name who may be ahead with care

A successor of a stamp from the future carries the name of a host whose clock is right; the message says so. Tests for cached readings that are over, for a digest after forgetting, and for a clock that keeps what it believed.

--- a/robinhill/mesh/kinds.py
+++ b/robinhill/mesh/kinds.py
@@ -22,7 +22,7 @@
 Hash = Annotated[bytes, msgspec.Meta(max_length=64)]
 
 HOUR_US = 3_600_000_000
-MOST_SIGHTINGS = 600  # of one worker: 200 schedulers, three things to see
+MOST_SIGHTINGS = 600  # of one worker: 200 schedulers that see three things each
 DRAINS = 1_024  # schedulers and those that they replaced
 DRAIN_US = 7 * 24 * HOUR_US  # a drain that is a week old was forgotten
 EVIDENCE = 8_192  # workers; beyond it the ones of which nothing was heard for longest go first
@@ -51,7 +51,7 @@
 
 
 class Sighting(msgspec.Struct, frozen=True, array_like=True, order=True):
-    """What one scheduler saw of a worker; its latest one of each ``what`` counts.
+    """What one scheduler saw of a worker; its latest one of each ``what`` and ``about`` counts.
 
     ``observer``: the scheduler's name. ``what``: ``silent``, ``failing``, ``slow``, or what newer versions
     see. ``about``: the class of jobs or kind it was seen with, or empty. ``amount``: microseconds without an
@@ -93,10 +93,10 @@
 
 
 def together(a: Evidence, b: Evidence) -> Evidence:
-    """Of each observer and thing the latest; of more than ``MOST_SIGHTINGS`` the latest ones."""
-    found: dict[tuple[str, str], Sighting] = {}
+    """Of each observer and thing the latest sighting; of more than ``MOST_SIGHTINGS`` the latest ones."""
+    found: dict[tuple[str, str, str], Sighting] = {}
     for sighting in (*a, *b):
-        name = sighting.observer, sighting.what
+        name = sighting.observer, sighting.what, sighting.about
         found[name] = max(sighting, found.get(name, sighting))
     kept: Iterable[Sighting] = found.values()
     if len(found) > MOST_SIGHTINGS:
--- a/robinhill/mesh/replica.py
+++ b/robinhill/mesh/replica.py
@@ -45,6 +45,10 @@
     return -(-us // SPAN_US)
 
 
+def _told_by(record: Record, ahead: int) -> str:
+    return f"{record.stamp.origin}, or who wrote it before, stamped a record {ahead / 1e6:.0f} s ahead"
+
+
 class Replica:
     """``value`` and ``items`` tell what counts at the latest ``now_us`` that any call gave."""
 
@@ -110,7 +114,7 @@
             return None
         ahead = ahead_us(now_us, record)
         if ahead > FAR_US:
-            raise StampAhead(f"{record.stamp.origin} is {ahead / 1e6:.0f} s ahead: record refused", None)
+            raise StampAhead(f"{_told_by(record, ahead)}, it was refused", None)
         shelf = self._shelves.get(record.kind, self._unknown)
         new, value = record, UNREAD
         held = shelf.held.get(shelf.place(record.kind, record.key))
@@ -128,7 +132,7 @@
         if not self._put(shelf, new, value, ROOM_TO_TAKE):
             return None
         if ahead > AHEAD_US:
-            raise StampAhead(f"{record.stamp.origin} is {ahead / 1e6:.0f} s ahead: stamp bounded", new)
+            raise StampAhead(f"{_told_by(record, ahead)}, its weight is bounded", new)
         return new
 
     def value(self, kind: str, key: str) -> object | None:
--- a/tests/test_mesh_replica.py
+++ b/tests/test_mesh_replica.py
@@ -218,6 +218,7 @@
     first, second = clock.tick(NOW), clock.tick(NOW - S)
     assert first < second and clock.tick(NOW - 2 * AHEAD_US).wall_us == NOW - 2 * AHEAD_US
     clock.observe(NOW, Stamp(NOW + S, 2**32 - 1, "b", 1))
+    clock.observe(NOW, Stamp(NOW + 3600 * S, 0, "c", 1))
     assert clock.tick(NOW) == Stamp(NOW + S + 1, 0, "a", 1)
     assert [clocks.next_incarnation(NOW, before) for before in (5, NOW + S)] == [NOW, NOW + S + 1]
     assert agreed_offset_us([-3600 * S]) == 0 == agreed_offset_us([3600 * S, 0]) == agreed_offset_us([S, S])
@@ -229,7 +230,8 @@
     old = a.write(NOW, "short", "w", ((1,), ()))
     b.take(NOW, old)
     gone = -(-old.until_us // SPAN_US) * SPAN_US + AHEAD_US
-    assert b.value("short", "w") == ((1,), ()) and b.collect(gone - 1) == 0 and b.collect(gone) == 1
+    assert b.items("short") == [("w", ((1,), ()))] == [("w", b.value("short", "w"))]
+    assert b.collect(gone - 1) == 0 and b.items("short") == [] and b.collect(gone) == 1
     assert b.value("short", "w") is None is b.record("short", "w")
     assert a.digest(gone - AHEAD_US) == b.digest(gone - AHEAD_US) != a.digest(NOW)
     assert b.take(gone, old) is None and b.record("short", "w") is None
@@ -253,6 +255,7 @@
     exchange([away, here], late)
     assert here.value("short", "w") is None is away.value("short", "w")
     assert away.clear() == [kept] and away.sizes()["long"] == (0, 0)
+    assert away.digest(late) == copies(1)[0].digest(late) != here.digest(late)
 
 
 def test_full_kinds_keep_the_same_records_in_every_order_or_refuse(monkeypatch: pytest.MonkeyPatch) -> None:
