--- a/tests/test_mesh_replica.py
+++ b/tests/test_mesh_replica.py
@@ -218,7 +218,8 @@
     first, second = clock.tick(NOW), clock.tick(NOW - S)
     assert first < second and clock.tick(NOW - 2 * AHEAD_US).wall_us == NOW - 2 * AHEAD_US
     clock.observe(NOW, Stamp(NOW + S, 2**32 - 1, "b", 1))
-    clock.observe(NOW, Stamp(NOW + 3600 * S, 0, "c", 1))
+    for unheeded in (NOW + 3600 * S, NOW - S):
+        clock.observe(NOW, Stamp(unheeded, 0, "c", 1))
     assert clock.tick(NOW) == Stamp(NOW + S + 1, 0, "a", 1)
     assert [clocks.next_incarnation(NOW, before) for before in (5, NOW + S)] == [NOW, NOW + S + 1]
     assert agreed_offset_us([-3600 * S]) == 0 == agreed_offset_us([3600 * S, 0]) == agreed_offset_us([S, S])
@@ -238,6 +239,7 @@
     new = a.write(old.until_us, "short", "w", ((2,), ()))
     assert a.value("short", "w") == ((2,), ()) and new.stamp > old.stamp
     assert a.take(old.until_us, old) is None and a.value("short", "w") == ((2,), ())
+    assert a.collect(new.until_us) == 0 and a.clear() == [], "what is over is nobody's to write again"
 
 
 def test_who_was_away_too_long_forgets_before_it_brings_back_the_lifted() -> None:
@@ -310,6 +312,8 @@
     assert [r.key for r in first] == ["1", "2"] and copy.since(cursor, 9)[0] == [copy.record("long", "0")]
     assert copy.since(copy.head, 9) == ([], copy.head)
     assert len(copy.since(copy.head + 1, 9)[0]) == 3 and len(copy.since(0, 9)[0]) == 3
+    parts = copy.snapshot()
+    assert next(parts) and len(copy.clear()) == 3 and list(parts) == [], "dropped meanwhile"
 
 
 def test_records_that_cannot_be_read_are_refused() -> None:
