--- /dev/null
+++ b/robinhill/gang/words.py
@@ -0,0 +1,187 @@
+"""The words of gangs: who belongs to one, what a look finds, and what follows.
+
+Times are microseconds of this process's own clock, which never steps back; they are times of hearing. What a
+worker or another scheduler says of its own clock is used nowhere.
+"""
+
+import re
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+from robinhill.api import Repeat
+from robinhill.gang.errors import MalformedGang
+
+HEADER = "X-Gang"
+# Larger gangs would make a shared record of over 32 kB; a season report has some tens of parts.
+MAX_SIZE = 128
+MAX_HEADER = 160  # characters; the longest proper one has some 90
+MAX_NAME = 128  # characters of a gang's name with its owner; keys of records are not longer
+_FIELD_FORM = re.compile(r"\s*([a-z]+)\s*=\s*([!-:<-~]+)\s*", re.ASCII)
+_ID_FORM = re.compile(r"[A-Za-z0-9._:-]{1,64}", re.ASCII)
+_NUMBER_FORM = re.compile(r"[0-9]{1,4}", re.ASCII)
+
+
+@dataclass(slots=True, frozen=True)
+class Membership:
+    """A job's place in its gang, as its header names it. ``owner`` keeps tenants' ids apart."""
+
+    id: str
+    size: int
+    index: int
+    owner: str = ""
+
+    @property
+    def gang(self) -> str:
+        """What the gang is called among schedulers and by operators."""
+        return f"{self.owner}/{self.id}" if self.owner else self.id
+
+
+def read_membership(values: list[str], owner: str = "") -> Membership | None:
+    """Decode all values of the gang header of one request; None where there is none.
+
+    ``owner`` is the tenant, where the door tells one. Keys that a newer portal may add are passed over.
+    Raises MalformedGang.
+    """
+    if not values:
+        return None
+    if len(values) > 1:
+        raise MalformedGang("the gang header stands more than once")
+    if len(values[0]) > MAX_HEADER:
+        raise MalformedGang(f"the gang header has {len(values[0])} characters, at most {MAX_HEADER} are read")
+    fields: dict[str, str] = {}
+    for part in values[0].strip().removesuffix(";").split(";"):
+        if not (form := _FIELD_FORM.fullmatch(part)):
+            raise MalformedGang(f"the gang header has {part[:40]!r} where key=value is due")
+        if form[1] in fields:
+            raise MalformedGang(f"the gang header names {form[1][:40]!r} twice")
+        fields[form[1]] = form[2]
+    name, size, index = (fields.get(key, "") for key in ("id", "size", "index"))
+    if not _ID_FORM.fullmatch(name):
+        raise MalformedGang("a gang's id must be 1 to 64 letters, digits or any of . _ : -")
+    for key, text in (("size", size), ("index", index)):
+        if not _NUMBER_FORM.fullmatch(text):
+            raise MalformedGang(f"a gang's {key} must be a whole number, is {text[:40]!r}")
+    if not 1 <= int(size) <= MAX_SIZE:
+        raise MalformedGang(f"a gang's size must be 1 to {MAX_SIZE}, is {int(size)}")
+    if int(index) >= int(size):
+        raise MalformedGang(f"a gang's index must be below its size {int(size)}, is {int(index)}")
+    return Membership(name, int(size), int(index), owner[: MAX_NAME - len(name) - 1])
+
+
+class Phase(IntEnum):
+    """How far a member has come, as schedulers tell each other. A number of a newer peer counts as GONE."""
+
+    WAITS = 0  # taken, or sent to a worker that has not begun it
+    RUNS = 1
+    DONE = 2
+    GONE = 3  # failed, refused or left by its client
+
+
+class Why(Enum):
+    """Why a member was or was not called a straggler; the value is for people."""
+
+    ENDED = "it has ended"
+    NOT_BEGUN = "it has not begun to run"
+    EARLY = "it has run too shortly to tell"
+    FEW_PEERS = "too few peers ran beside it to compare with"
+    WITHIN = "it goes as its peers do"
+    ONCE = "it is behind its peers, but not yet for enough looks in a row"
+    ALIKE = "so many of its gang are behind that the gang is slowed, not the member"
+    SHARED = "so many members of other gangs are behind too that all are slowed, not the member"
+    WORKER_FINE = "it is behind its peers, but others at its worker are not: it is the job that is long"
+    PAUSED = "this scheduler itself was away before the look"
+    LAGS = "it lags: it is behind its peers, for enough looks in a row"
+
+
+class Then(Enum):
+    """What followed for one that lags; the value is for people."""
+
+    NOTHING = "nothing"
+    MOVED = "it was withdrawn and placed anew"
+    COPIED = "a second attempt was started beside it"
+    UNSAFE = "it stays: a second run would do harm"
+    BEGUN = "it stays: it is keyed and has begun"
+    ONCE_MOVED = "it stays: it was moved before, so the job itself is long"
+    NO_GAIN = "it stays: a fresh run would not end sooner by the margin"
+    GANG_SPENT = "it stays: its gang has used up its moves"
+    ALL_SPENT = "it stays: the moves of all gangs are used up for now"
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """What the last look found of one member. ``at_us``: when; numbers that are not known are None.
+
+    ``behind``: how many times slower than its peers it goes, by their median. ``bound``: above which it is
+    beyond what chance makes of equals. ``peers``: with how many it was compared. ``remaining_us`` and
+    ``fresh_us``: what it is thought to need yet where it runs, and from the start elsewhere.
+    """
+
+    gang: str
+    index: int
+    at_us: int
+    why: Why
+    worker: str = ""
+    behind: float | None = None
+    bound: float | None = None
+    peers: int = 0
+    looks: int = 0
+    remaining_us: int | None = None
+    fresh_us: int | None = None
+    silent: bool = False  # judged by its time alone: no word on its progress
+    then: Then = Then.NOTHING
+
+    @property
+    def lags(self) -> bool:
+        return self.why is Why.LAGS
+
+
+@dataclass(slots=True, frozen=True)
+class Move:
+    """To be carried out: withdraw ``attempt`` of ``job`` from ``worker`` and place it anew at another.
+
+    With ``copy`` the attempt stays and a second one starts beside it; the first to end is the answer.
+    ``avoid``: workers that lag themselves by what is known here; to be passed by where others are free.
+    """
+
+    job: int
+    attempt: int
+    worker: str
+    gang: str
+    index: int
+    copy: bool = False
+    avoid: tuple[str, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Evidence:
+    """That a worker is slow, as one observer found in several gangs; for the mesh and for cordons.
+
+    ``how_much``: how many times slower than its members' peers, by the median. ``at_us``: Unix time.
+    """
+
+    worker: str
+    observer: str
+    what: str
+    how_much: float
+    at_us: int
+    gangs: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Look:
+    """What one look found: verdicts of all members that run here, moves to make, evidence to share."""
+
+    verdicts: tuple[Verdict, ...] = ()
+    moves: tuple[Move, ...] = ()
+    evidence: tuple[Evidence, ...] = ()
+
+
+def safe_to_move(repeat: Repeat, begun: bool) -> Then:
+    """Whether a second run can do no harm: NOTHING if so, else why not.
+
+    A keyed job that has not begun may go elsewhere: were the withdrawal late, its key would drop the repeat
+    within its scope, which the module keeps to. Once it has begun, part of it may have been done.
+    """
+    if repeat is Repeat.UNSAFE:
+        return Then.UNSAFE
+    return Then.BEGUN if repeat is Repeat.KEYED and begun else Then.NOTHING
