--- a/robinhill/gang/progress.py
+++ b/robinhill/gang/progress.py
@@ -110,6 +110,13 @@
         """Share done a microsecond between two moments of the known part."""
         return (self.share_at(to_us) - self.share_at(from_us)) / (to_us - from_us)
 
+    @property
+    def whole_rate(self) -> float | None:
+        """The same over all that is known; None where that is no time."""
+        if len(self._at) < 2 or self._at[-1] <= self._at[0]:
+            return None
+        return (self._share[-1] - self._share[0]) / (self._at[-1] - self._at[0])
+
     def remaining_us(self) -> int | None:
         """What it needs yet from its last word on, by its own words; None if they don't tell.
 
--- a/robinhill/gang/straggle.py
+++ b/robinhill/gang/straggle.py
@@ -75,10 +75,8 @@
             return None
         if self.silent:
             return self.run_us / self.usual_us
-        curve = self.curve
-        if curve.last_us <= curve.first_us:
-            return None
-        return 1 / max(SLOWEST, curve.rate(curve.first_us, curve.last_us) * self.usual_us)
+        rate = self.curve.whole_rate
+        return None if rate is None else 1 / max(SLOWEST, rate * self.usual_us)
 
 
 @dataclass(slots=True, frozen=True)
--- a/robinhill/gang/table.py
+++ b/robinhill/gang/table.py
@@ -153,8 +153,8 @@
             own = self.holds(i)
             curve = own.curve if own else self.far[i].curve
             hint = own.hint_us if own else self.far[i].word.hint_us
-            if hint and curve.words and curve.last_us > curve.first_us:
-                logs[i] = -math.log(max(SLOWEST, curve.rate(curve.first_us, curve.last_us) * hint))
+            if hint and curve.words and (rate := curve.whole_rate) is not None:
+                logs[i] = -math.log(max(SLOWEST, rate * hint))
         return logs[index] - median(logs.values()) if index in logs and len(logs) > LEAST_TELLING else None
 
     def runners(self, now_us: int, paces: Paces) -> dict[int, Runner]:
