--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -19,6 +19,7 @@
 
 from robinhill import api
 from robinhill.door.options import DoorOptions
+from robinhill.mesh.options import MeshOptions
 from robinhill.net import messages
 from robinhill.net.logs import LogOptions
 from robinhill.record.options import RecordOptions
@@ -68,6 +69,7 @@
     log: LogOptions = LogOptions()
     door: DoorOptions = DoorOptions()
     record: RecordOptions = RecordOptions()
+    mesh: MeshOptions = MeshOptions()
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/robinhill/mesh/frames.py
@@ -0,0 +1,121 @@
+"""What passes over a link between two schedulers: frames as typed values, each in one MessagePack array.
+
+A frame may be lost, doubled or overtaken by another: on a plain connection none is, but a guarantee must not
+hang on what lies between. So pushes are numbered, and all else can be said again.
+"""
+
+import hashlib
+
+import msgspec
+
+from robinhill.mesh.words import PeerRefused, Record
+
+PROTOCOL = 1
+RANGES = 256
+MAX_FRAME = 1 << 20  # bytes: a reader closes a link that sends more
+MAX_MEMBERS = 1024
+CHECK = 8  # bytes of a record's digest in a comparison; the next round would put right a miss in 2**64
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
+    """Who writes; first each way. ``names`` is the order of the ages in pongs; ``now_us`` is Unix time."""
+
+    protocol: int
+    installation: str
+    name: str
+    incarnation: int
+    features: tuple[str, ...]
+    now_us: int
+    names: tuple[str, ...]
+
+
+class Push(msgspec.Struct, frozen=True, array_like=True, tag="push"):
+    """Records that the reader lacks. ``instead``: pushes that were lost, whose records are here anew."""
+
+    number: int
+    records: tuple[Record, ...]
+    instead: tuple[int, ...] = ()
+
+
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
+    """Answer once all that you know now is written; pushes up to ``pushed`` went before this."""
+
+    number: int
+    pushed: int
+
+
+class Pong(msgspec.Struct, frozen=True, array_like=True, tag="pong"):
+    """All that its sender knew when the ping came is in the pushes up to ``pushed``.
+
+    ``low``: it has all pushes up to this number. ``ages_ms``: how old its knowledge of each of its ``names``
+    was when the ping came, rounded up, and -1 where it has none; of those that count for majorities, itself
+    among them if it does. ``starting_ms``: the same of those that do not count yet, by place in ``names``.
+    """
+
+    number: int
+    pushed: int
+    low: int
+    ages_ms: tuple[int, ...]
+    starting_ms: tuple[tuple[int, int], ...]
+
+
+class Again(msgspec.Struct, frozen=True, array_like=True, tag="again"):
+    """These pushes have not come."""
+
+    numbers: tuple[int, ...]
+
+
+class Ranges(msgspec.Struct, frozen=True, array_like=True, tag="ranges"):
+    """Digests of all ranges, 8 bytes each; ``answers`` where the other side opened the round.
+
+    ``at_us``: the Unix time for which they hold, which an answer repeats: what is over counts in none.
+    """
+
+    round: int
+    at_us: int
+    answers: bool
+    digests: bytes
+
+
+class Heads(msgspec.Struct, frozen=True, array_like=True, tag="heads"):
+    """Kind, key and digest of the records in one range, in ``parts`` frames."""
+
+    round: int
+    index: int
+    part: int
+    parts: int
+    heads: tuple[tuple[str, str, bytes], ...]
+
+
+class Redo(msgspec.Struct, frozen=True, array_like=True, tag="redo"):
+    """Some of this round did not come: open another."""
+
+    round: int
+
+
+class Aside(msgspec.Struct, frozen=True, array_like=True, tag="aside"):
+    """A word between members that is no record."""
+
+    words: bytes
+
+
+Frame = Hello | Push | Ping | Pong | Again | Ranges | Heads | Redo | Aside
+_decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def write(frame: Frame) -> bytes:
+    return _encoder.encode(frame)
+
+
+def read(data: bytes) -> Frame:
+    """The frame; raises PeerRefused for what is none."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as e:
+        raise PeerRefused(f"a frame can't be read: {e}") from e
+
+
+def check(record: Record) -> bytes:
+    """A record's digest in a comparison."""
+    return hashlib.blake2b(_encoder.encode(record), digest_size=CHECK).digest()
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -90,6 +90,18 @@
     known: bool = False  # to another process of this scheduler, though our list may not name it yet
 
 
+@dataclass(slots=True, frozen=True)
+class Cordoned:
+    """What cordons ``cover`` gets nothing new; nor does any worker unless this scheduler is ``vouched`` for.
+
+    ``applied`` is called once no endpoint can send by what was told before.
+    """
+
+    cover: Callable[[Destination], bool]
+    vouched: bool
+    applied: Callable[[], None]
+
+
 @dataclass(slots=True, frozen=True)
 class Release:
     """The successor is to go on with a request; ``reply`` gets what it needs, or None while it can't go."""
@@ -109,7 +121,7 @@
 
 
 ToDecider = (
-    Taken | ClientLeft | Listed | HoldOut | Release | Adopt | Due | JobEvent
+    Taken | ClientLeft | Listed | HoldOut | Cordoned | Release | Adopt | Due | JobEvent
     | ep.Started | ep.Ended | ep.Probed | ep.Retired | ep.Gone
 )  # fmt: skip
 
@@ -166,6 +178,9 @@
         self.held_out = self.state.held_out()  # endpoints that operators want left out
         # Since when, and until when, operators had an endpoint out; the file tells no times.
         self.outages = {instance_id: (clock.now_us(), 0) for instance_id in self.held_out}
+        self.cordons = Cordoned(lambda d: False, True, lambda: None)  # as told last
+        self.may_send: Callable[[Destination], bool] | None = None  # asked right before each write
+        self.list_changed: Callable[[], None] | None = None  # hears when discovery has told of workers
         self.zones = list(config.zones)
         self.machine_types = list(config.machine_types)
 
@@ -201,6 +216,8 @@
                 answer = self._hold_out(instance_id, out, known)
                 if not reply.done():
                     reply.set_result(answer)
+            case Cordoned():
+                self._cordoned(message)
             case ep.Probed(instance_id=instance_id, alive=alive):
                 self._decide(api.ProbeEnded(instance_id, alive))
             case Release():
@@ -231,7 +248,7 @@
                 case api.Subscribe():
                     self.subscribe()
                 case api.Probe(address=address):
-                    if address in self.held_out:
+                    if self._is_out(self.destinations.get(address), address):
                         # An operator's worker gets nothing, and its silence is no news.
                         self.tell(ep.Probed(address, True))
                     elif endpoint := self.endpoints.get(address):
@@ -475,6 +492,8 @@
         for destination in told.destinations:
             self._update(destination)
         self._decide(api.WorkersListed(kind, [self._worker(d) for d in told.destinations]))
+        if self.list_changed:
+            self.list_changed()
 
     def _update(self, destination: Destination) -> None:
         self.destinations[destination.instance_id] = destination
@@ -499,6 +518,7 @@
             settings.keepalive_us,
             self.figures,
             self.tell,
+            self.may_send,
         )
         self.endpoints[told.instance_id] = endpoint
         endpoint.start()
@@ -510,7 +530,9 @@
         The list is late: a restart during an outage may not be on it yet. Taken for warm, a cold worker would
         be pushed over.
         """
-        if d.instance_id in self.held_out and d.lifecycle is Lifecycle.ACTIVE:
+        if d.lifecycle is Lifecycle.ACTIVE and (
+            self._is_out(d, d.instance_id) or not self.cordons.vouched
+        ):
             return replace(d, lifecycle=Lifecycle.LEAVING)
         out_us, back_us = self.outages.get(d.instance_id, (0, 0))
         return replace(d, started_us=back_us) if back_us and d.started_us < out_us else d
@@ -538,6 +560,29 @@
             self._decide(api.WorkersListed(api.ListKind.CACHED, [self._worker(d) for d in self.listed()]))
         return DONE
 
+    def _is_out(self, d: Destination | None, instance_id: str) -> bool:
+        """Whether operators have said that an endpoint gets nothing, here or at any scheduler."""
+        return instance_id in self.held_out or (d is not None and self.cordons.cover(d))
+
+    def _cordoned(self, message: Cordoned) -> None:
+        """Leave out what is cordoned now, and call back what is no longer: it counts as started just now."""
+        now = self.clock.now_us()
+        before = {d.instance_id: self._is_out(d, d.instance_id) for d in self.listed()}
+        moved, self.cordons = message.vouched is not self.cordons.vouched, message
+        for d in self.listed():
+            name = d.instance_id
+            if (out := self._is_out(d, name)) is before[name]:
+                continue
+            moved = True
+            log.info("cordoned" if out else "uncordoned", extra={"endpoint": name})
+            self.outages[name] = (now, 0) if out else (self.outages.get(name, (now, 0))[0], now)
+        if moved:
+            for d in self.listed():
+                self._update(d)
+            self._decide(api.WorkersListed(api.ListKind.CACHED, [self._worker(d) for d in self.listed()]))
+        # Endpoints have this in their mailboxes, which the loop empties before it comes to what is called now.
+        asyncio.get_running_loop().call_soon(message.applied)
+
     def _worker(self, d: Destination) -> api.Worker:
         """The module's view: names become numbers, in the order of the settings, then of their coming."""
         d = self._effective(d)
@@ -568,9 +613,8 @@
         self.figures.active = len(self.held) + (self.figures.at_door() if self.figures.at_door else 0)
         listed = {d.instance_id for d in self.listed()}
         self.figures.pool_size = len(listed)
-        self.figures.pool_ejected = len(
-            listed & (self.held_out | self.balancer.avoided(self.clock.now_us()))
-        )
+        out = {d.instance_id for d in self.listed() if self._is_out(d, d.instance_id)}
+        self.figures.pool_ejected = len(listed & (out | self.balancer.avoided(self.clock.now_us())))
         return Answer(200, self.figures.text().encode())
 
     async def close(self) -> None:
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -235,12 +235,14 @@
         keepalive_us: int,
         figures: Figures,
         report: Callable[[FromEndpoint], None],
+        may_send: Callable[[Destination], bool] | None = None,
     ) -> None:
         super().__init__(f"endpoint {destination.instance_id}", supervisor)
         self.destination = destination
         self.clock = clock
         self.figures = figures
         self.report = report
+        self.may_send = may_send  # whether cordons and lease allow it at this moment; None: there are none
         self.connect_timeout_s = connect_timeout_us / 1e6
         self.retire_s = keepalive_us * RETIRE_SHARE / 1e6
         self.attempts: dict[str, _Attempt] = {}
@@ -252,7 +254,9 @@
     @property
     def open(self) -> bool:
         """Whether it may get anything new."""
-        return self.destination.lifecycle is Lifecycle.ACTIVE
+        return self.destination.lifecycle is Lifecycle.ACTIVE and (
+            self.may_send is None or self.may_send(self.destination)
+        )
 
     def _new_session(self) -> aiohttp.ClientSession:
         session = aiohttp.ClientSession(
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -59,6 +59,7 @@
         self.report = report
         self.deliver = deliver
         self.deadlines_us = tuple(c.deadline_us for c in config.settings.classes)
+        self.behind = False  # on what other schedulers know, where they share
         self.drained = False  # by operators: clients should go elsewhere
         self._drains: asyncio.Task[None] | None = None
         self.serving = False  # it accepts
@@ -105,7 +106,7 @@
     @property
     def ready(self) -> bool:
         """Whether clients should come here."""
-        return self.serving and not (self.leaving or self.drained or self.succeeded)
+        return self.serving and not (self.leaving or self.drained or self.succeeded or self.behind)
 
     def drain(self, start: bool) -> None:
         """Send clients elsewhere, or take them again; nothing is refused, and endpoints go on calling."""
--- a/robinhill/net/operators.py
+++ b/robinhill/net/operators.py
@@ -12,6 +12,9 @@
 from robinhill.net.messages import Answer
 
 MAX_CALL = 1024  # an id, with room for blanks round it
+MAX_CORDON_CALL = 8192  # a target, a reason and who asks, in JSON
+CORDONS = "/ops/cordons"
+MAX_WAIT_S = 600.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -23,6 +26,9 @@
     door: Callable[[], Answer]
     hold_out: Callable[[str, bool], Awaitable[Answer]]
     drain: Callable[[bool], Awaitable[Answer]]
+    # What schedulers share, where they do: method, cordon's id ("": all), body, seconds to wait if it waits.
+    cordons: Callable[[str, str, bytes, float | None], Awaitable[Answer]] | None = None
+    vouch: Callable[[], Answer] | None = None
 
 
 class Operators:
@@ -31,7 +37,8 @@
     def __init__(self, address: Address, budget: int, supervisor: Supervisor, calls: Calls) -> None:
         self.address = address
         self.calls = calls
-        self.listener = Listener(self._handle, budget, supervisor, MAX_CALL)
+        most = MAX_CORDON_CALL if calls.cordons else MAX_CALL
+        self.listener = Listener(self._handle, budget, supervisor, most)
         self._routes: dict[str, tuple[str, Callable[[bytes], Awaitable[Answer]]]] = {
             "/ops/readiness": ("GET", self._readiness),
             "/ops/stats": ("GET", self._stats),
@@ -41,6 +48,8 @@
             "/ops/drain/start": ("PUT", lambda body: calls.drain(True)),
             "/ops/drain/stop": ("PUT", lambda body: calls.drain(False)),
         }
+        if calls.vouch:
+            self._routes["/ops/mesh/vouch"] = ("PUT", self._vouch)
 
     def start(self) -> None:
         self.listener.listen(bind(self.address, "GW_OPS"))
@@ -51,6 +60,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.rel_url.raw_path
+        if self.calls.cordons and (path == CORDONS or path.startswith(CORDONS + "/")):
+            return await self._cordons(request, self.calls.cordons)
         if (route := self._routes.get(path)) is None:
             return reject(request, 404, "no such call")
         method, call = route
@@ -59,12 +70,33 @@
             response.headers["Allow"] = method
             return response
         body = await request.read()
+        if len(body) > MAX_CALL:
+            return reject(request, 413, f"a body holds at most {MAX_CALL} bytes")
         connection_of(request).claim(useful=True)
         answer = await call(body)
         response = web.Response(status=answer.status, body=answer.body)
         response.force_close()
         return response
 
+    async def _cordons(
+        self, request: web.BaseRequest, call: Callable[[str, str, bytes, float | None], Awaitable[Answer]]
+    ) -> web.StreamResponse:
+        cordon_id = request.rel_url.path.removeprefix(CORDONS).removeprefix("/")
+        methods = ("GET", "PUT", "DELETE") if cordon_id else ("GET",)
+        if request.method not in methods:
+            response: web.StreamResponse = reject(request, 405, f"the methods are {', '.join(methods)}")
+            response.headers["Allow"] = ", ".join(methods)
+            return response
+        body = await request.read()
+        connection_of(request).claim(useful=True)
+        answer = await call(request.method, cordon_id, body, _wait_s(request.rel_url.query.get("wait")))
+        response = web.Response(status=answer.status, body=answer.body, content_type="application/json")
+        response.force_close()
+        return response
+
+    async def _vouch(self, body: bytes) -> Answer:
+        return self.calls.vouch() if self.calls.vouch else Answer(404, b"schedulers share nothing\n")
+
     async def _readiness(self, body: bytes) -> Answer:
         return self.calls.readiness()
 
@@ -76,3 +108,16 @@
 
     async def _worker(self, body: bytes, out: bool) -> Answer:
         return await self.calls.hold_out(messages.read_instance_id(body), out)
+
+
+def _wait_s(text: str | None) -> float | None:
+    """Seconds, at most ten minutes."""
+    if text is None:
+        return None
+    try:
+        wait_s = float(text.removesuffix("s"))
+    except ValueError:
+        wait_s = -1.0
+    if not 0 <= wait_s <= MAX_WAIT_S:
+        raise messages.MalformedError(f"wait must be seconds, 0 to {MAX_WAIT_S:g}")
+    return wait_s
--- /dev/null
+++ b/robinhill/net/peers.py
@@ -0,0 +1,397 @@
+"""The actor that keeps the links to other schedulers: it listens, dials, greets, and hands on what comes."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import time
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+import aiohttp
+from aiohttp import web
+
+from robinhill.config import Address
+from robinhill.mesh.frames import MAX_FRAME
+from robinhill.mesh.session import Ages, Answered, Event, Greeted, Identity, Learned, Session, Store, Told
+from robinhill.mesh.words import PeerRefused, PeerUnreachable
+from robinhill.net.actor import Actor, Supervisor
+from robinhill.net.clock import Clock
+from robinhill.net.connections import bind
+from robinhill.net.peerlink import PATH, PeerLink
+
+log = logging.getLogger(__name__)
+
+HELLO_S = 2.0  # a link must be greeted within
+DIAL_S = 1.0  # for a connection and its upgrade
+FIRST_WAIT_S = 0.05  # before the second try to dial; the waits double, each is drawn between a tenth and all
+LONGEST_WAIT_S = 1.0  # two tries within the two seconds in which copies must be equal after a heal
+COURTESY_S = 0.1  # the peer with the lower name dials; the other only if nothing has come by then
+STRANGERS = 16  # connections that have not greeted yet
+DEAD_INTERVALS = 3  # a link that is silent for so many intervals, but a second at least, is given up
+LEAST_DEAD_US = 1_000_000
+AWAY_US = 500_000  # a look that is so late: this process stood still, and links had no chance to be heard
+BIND_AGAIN_S = 0.2  # while another process of this scheduler has the address still
+SAID_AGAIN_S = 60.0  # how often a peer that stays unreachable is told of again
+
+
+def mono_us() -> int:
+    """A clock that also goes on while the host sleeps, where there is one."""
+    return time.clock_gettime_ns(getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)) // 1000
+
+
+class Hearer(Protocol):
+    """Who owns the replica. All three are called at once, not told: what has come must be acted on before an
+    answer behind it lends a lease."""
+
+    def learned(self, learned: Learned) -> None: ...
+
+    def greeted(self, name: str, incarnation: int, clock_ahead_us: int) -> None: ...
+
+    def answered(self, name: str, answered: Answered) -> None: ...
+
+
+@dataclass(slots=True, frozen=True)
+class Heard:
+    """A frame has come over a link."""
+
+    link: PeerLink
+    data: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Opened:
+    """A websocket is there, either way."""
+
+    link: PeerLink
+
+
+@dataclass(slots=True, frozen=True)
+class Closed:
+    """It is gone."""
+
+    link: PeerLink
+    why: str
+
+
+@dataclass(slots=True, frozen=True)
+class Look:
+    """Time has passed."""
+
+
+@dataclass(slots=True, frozen=True)
+class Configure:
+    """Whom to know, where they are, and whom of them to have links to."""
+
+    identity: Identity
+    addresses: Mapping[str, str]
+    partners: Sequence[str]
+    most_links: int
+    interval_us: int
+
+
+ToPeers = Heard | Opened | Closed | Look | Configure
+
+
+class Peers(Actor[ToPeers]):
+    """Keeps one link to each partner, and takes those of others as far as there is room."""
+
+    def __init__(
+        self,
+        listen: Address,
+        configured: Configure,
+        supervisor: Supervisor,
+        clock: Clock,
+        store: Store,
+        ages: Ages,
+        hearer: Hearer,
+        rng: random.Random,
+    ) -> None:
+        super().__init__("peers", supervisor)
+        self.listen = listen
+        self.configured = configured
+        self.clock = clock
+        self.store = store
+        self.ages = ages
+        self.hearer = hearer
+        self.rng = rng
+        self.links: dict[str, PeerLink] = {}  # greeted
+        self.fresh: set[PeerLink] = set()  # not greeted yet
+        self.told: Callable[[str, bytes], None] = lambda name, words: None  # words between members
+        self.counts = dict.fromkeys(("opened", "lost", "refused", "frames_in", "frames_out", "bytes_in",
+                                     "bytes_out"), 0)  # fmt: skip
+        self.refusals: dict[str, str] = {}  # the last one by name or address, for operators; bounded
+        self._dialling: dict[str, asyncio.Task[None]] = {}
+        self._client: aiohttp.ClientSession | None = None
+        self._runner: web.ServerRunner | None = None
+        self._looked_us = mono_us()
+        self._timer: asyncio.TimerHandle | None = None
+        self._stopping = False
+
+    def start(self) -> None:
+        super().start()
+        self._client = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=DIAL_S),
+        )
+        self.supervisor.spawn(self._listen(), "peers listen")
+        self._look()
+
+    def receive(self, message: ToPeers) -> None:
+        match message:
+            case Heard(link=link, data=data):
+                self._heard(link, data)
+            case Opened(link=link):
+                self.fresh.add(link)
+                self.counts["opened"] += 1
+            case Closed(link=link, why=why):
+                self._closed(link, why)
+            case Look():
+                self._look()
+            case Configure():
+                self._configure(message)
+
+    def wake(self) -> None:
+        """The replica has changed: write it to whoever lacks it."""
+        for link in self.links.values():
+            link.wake()
+
+    async def close(self) -> None:
+        """End all links, after what is known has been written as far as partners read it at once."""
+        self._stopping = True
+        self.stop()
+        for task in self._dialling.values():
+            task.cancel()
+        if self._timer:
+            self._timer.cancel()
+        for link in [*self.links.values(), *self.fresh]:
+            link.end("this scheduler ends")
+        if self._runner:
+            with contextlib.suppress(Exception):
+                await self._runner.cleanup()
+        if self._client:
+            await self._client.close()
+
+    # Links
+
+    async def _listen(self) -> None:
+        """Take links; another process of this scheduler may have the address for a while yet."""
+        said = False
+        while True:
+            try:
+                sock = bind(self.listen, "mesh.listen")
+                break
+            except Exception as e:
+                if not said:
+                    log.warning("peers_address_taken", extra={"listen": self.listen, "why": str(e)})
+                said = True
+                await asyncio.sleep(BIND_AGAIN_S)
+        self._runner = web.ServerRunner(web.Server(self._accept, access_log=None), shutdown_timeout=0.2)
+        await self._runner.setup()
+        await web.SockSite(self._runner, sock).start()
+        log.info("peers_listening", extra={"listen": self.listen})
+
+    async def _accept(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != PATH:
+            return web.Response(status=404)
+        if self._stopping or len(self.fresh) >= STRANGERS:
+            return web.Response(status=503)
+        socket = web.WebSocketResponse(max_msg_size=MAX_FRAME, compress=False, timeout=0.2)
+        await socket.prepare(request)
+        await self._run(socket, str(request.remote), dialled=False)
+        return socket
+
+    async def _run(
+        self, socket: web.WebSocketResponse | aiohttp.ClientWebSocketResponse, address: str, dialled: bool
+    ) -> PeerLink:
+        c = self.configured
+        session = Session(c.identity, self.store, self.ages, dialled, c.interval_us)
+        link = PeerLink(socket, session, address, dialled, mono_us())
+        self.tell(Opened(link))
+        try:
+            why = await link.run(self._draw, lambda link, data: self.tell(Heard(link, data)), self._idle_s)
+        except BaseException:
+            self.tell(Closed(link, "this scheduler ends"))
+            raise
+        self.tell(Closed(link, why))
+        return link
+
+    def _draw(self, link: PeerLink) -> bytes | None:
+        frame = link.session.draw(self.clock.now_us(), mono_us())
+        if frame is not None:
+            self.counts["frames_out"] += 1
+            self.counts["bytes_out"] += len(frame)
+        return frame
+
+    def _idle_s(self, link: PeerLink) -> float:
+        return max(0.001, (link.session.next_us() - mono_us()) / 1e6)
+
+    def _heard(self, link: PeerLink, data: bytes) -> None:
+        if link.ended is not None:
+            return
+        self.counts["frames_in"] += 1
+        self.counts["bytes_in"] += len(data)
+        head = self.store.head
+        try:
+            events = link.session.receive(self.clock.now_us(), mono_us(), data)
+        except PeerRefused as e:
+            self._refuse(link, e)
+            return
+        for event in events:
+            self._happened(link, event)
+        if self.store.head != head:
+            self.wake()
+        link.wake()
+
+    def _happened(self, link: PeerLink, event: Event) -> None:
+        match event:
+            case Greeted(hello=hello):
+                if self._seat(link):
+                    ahead_us = hello.now_us - self.clock.now_us()
+                    self.hearer.greeted(hello.name, hello.incarnation, ahead_us)
+            case Learned():
+                self.hearer.learned(event)
+            case Answered():
+                self.hearer.answered(link.name, event)
+            case Told(words=words):
+                self.told(link.name, words)
+
+    def _refuse(self, link: PeerLink, error: PeerRefused) -> None:
+        self.counts["refused"] += 1
+        peer = link.name or link.address
+        self.refusals.pop(peer, None)
+        self.refusals[peer] = error.what
+        if len(self.refusals) > STRANGERS:
+            del self.refusals[next(iter(self.refusals))]
+        log.warning("peer_refused", extra={"peer": peer, "why": str(error)})
+        link.end(error.what)
+
+    def _seat(self, link: PeerLink) -> bool:
+        """Whether a greeted link is the one to this peer; of two, both sides choose the same one."""
+        assert link.session.peer
+        self.fresh.discard(link)
+        name, incarnation = link.name, link.session.peer.incarnation
+        other = self.links.get(name)
+        if other is None:
+            c = self.configured
+            if name not in c.partners and len(self.links) >= c.most_links:
+                link.end("no room for more links")
+                return False
+        else:
+            assert other.session.peer
+            silent_us = mono_us() - other.session.heard_us
+            preferred = min(name, self.configured.identity.name)
+            dialler = {True: self.configured.identity.name, False: name}
+            if other.session.peer.incarnation != incarnation:
+                newer = incarnation > other.session.peer.incarnation
+            elif silent_us > 2 * self.configured.interval_us or other.dialled is link.dialled:
+                newer = True
+            else:
+                newer = dialler[link.dialled] == preferred
+            if not newer:
+                link.end("there is a link already")
+                return False
+            other.end("another link took its place")
+        self.links[name] = link
+        log.info(
+            "peer_linked",
+            extra={"peer": name, "dialled": link.dialled, "incarnation": incarnation, "links": len(self.links)},
+        )
+        return True
+
+    def _closed(self, link: PeerLink, why: str) -> None:
+        self.fresh.discard(link)
+        if self.links.get(link.name) is not link:
+            return
+        del self.links[link.name]
+        self.counts["lost"] += 1
+        log.warning("peer_lost", extra={"peer": link.name, "why": why, "links": len(self.links)})
+        self._dial_missing()
+
+    # Dialling
+
+    def _dial_missing(self) -> None:
+        for name in self.configured.partners:
+            if name not in self.links and name not in self._dialling and not self._stopping:
+                task = self.supervisor.spawn(self._dial(name), f"dial {name}")
+                self._dialling[name] = task
+                task.add_done_callback(lambda done, name=name: self._dialling.pop(name, None))  # type: ignore[misc]
+
+    async def _dial(self, name: str) -> None:
+        """Try until there is a link, whoever dialled it."""
+        wait_s, said_s, tries = FIRST_WAIT_S, 0.0, 0
+        began_s = time.monotonic()
+        if name < self.configured.identity.name:
+            await asyncio.sleep(COURTESY_S)
+        while name in self.configured.partners and name not in self.links and not self._stopping:
+            why = await self._try(name)
+            if why is None or name in self.links:
+                return
+            tries += 1
+            now_s = time.monotonic()
+            if tries >= 3 and now_s - said_s >= SAID_AGAIN_S:
+                said_s = now_s
+                error = PeerUnreachable(f"{name} at {self.configured.addresses.get(name)}: {why}")
+                log.warning("peer_unreachable", extra={"peer": name, "tries": tries, "why": str(error)})
+            await asyncio.sleep(wait_s * (0.1 + 0.9 * self.rng.random()))
+            wait_s = min(2 * wait_s, LONGEST_WAIT_S)
+        log.debug("dialled", extra={"peer": name, "seconds": time.monotonic() - began_s})
+
+    async def _try(self, name: str) -> str | None:
+        """Dial once; returns why there is no link, or None once one that was seated has ended."""
+        assert self._client
+        address = self.configured.addresses.get(name)
+        if address is None:
+            return "it has no address"
+        try:
+            async with asyncio.timeout(DIAL_S):
+                socket = await self._client.ws_connect(
+                    f"http://{address}{PATH}", max_msg_size=MAX_FRAME, compress=0, autoclose=True
+                )
+        except (OSError, aiohttp.ClientError, TimeoutError) as e:
+            return f"{type(e).__name__} {e}".strip()
+        running = self.supervisor.spawn(self._run_dialled(socket, address), f"link {name}")
+        # Go on with dialling only once it is seated or ended.
+        while not running.done() and name not in self.links:
+            await asyncio.wait([running], timeout=0.02)
+        return None if name in self.links else "the link ended before it was greeted"
+
+    async def _run_dialled(self, socket: aiohttp.ClientWebSocketResponse, address: str) -> None:
+        await self._run(socket, address, dialled=True)
+
+    # Time
+
+    def _look(self) -> None:
+        """Give up links that are silent; not just after we stood still ourselves, as they had no chance."""
+        now_us = mono_us()
+        interval_us = self.configured.interval_us
+        late_us = now_us - self._looked_us - interval_us
+        self._looked_us = now_us
+        if late_us > AWAY_US:
+            log.warning("was_away", extra={"seconds": late_us / 1e6})
+            for link in self.links.values():
+                link.session.ask()
+                link.wake()
+        else:
+            dead_us = max(LEAST_DEAD_US, DEAD_INTERVALS * interval_us)
+            for link in list(self.links.values()):
+                if now_us - link.session.heard_us > dead_us:
+                    link.end("silent")
+            for link in list(self.fresh):
+                if now_us - link.opened_us > HELLO_S * 1e6:
+                    link.end("no greeting")
+        self._dial_missing()
+        self._timer = asyncio.get_running_loop().call_later(interval_us / 1e6, self.tell, Look())
+
+    def _configure(self, new: Configure) -> None:
+        """Go by another list: all links are greeted anew, as the greeting tells the list."""
+        old, self.configured = self.configured, new
+        if new.identity == old.identity and new.interval_us == old.interval_us:
+            gone = [n for n in self.links if old.addresses.get(n) != new.addresses.get(n)]
+        else:
+            gone = list(self.links)
+        for name in gone:
+            self.links[name].end("the list of schedulers has changed")
+        self._dial_missing()
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:  # what the platform does not switch on is not loaded: a restart is an outage
     from robinhill.net.doorkeeper import Doorkeeper
+    from robinhill.net.sharing import Sharing
     from robinhill.record.recorder import Recorder
 
 log = logging.getLogger(__name__)
@@ -83,14 +84,21 @@
             self._deliver,
             self.door.find if self.door else None,
         )
+        self.sharing: Sharing | None = None
+        if config.operator and config.operator.mesh.peers:
+            from robinhill.net import sharing
+
+            self.sharing = sharing.Sharing(config, self.supervisor, self.clock, self.decider, self.inbound)
         self.operators: Operators | None = None
         if config.ops:
             calls = Calls(
                 self.readiness,
-                self.decider.stats,
+                self.stats,
                 self.door.stats if self.door else lambda: NO_DOOR,
                 self.hold_out,
                 self.set_drained,
+                self.sharing.call if self.sharing else None,
+                self.sharing.vouch if self.sharing else None,
             )
             self.operators = Operators(config.ops, config.ops_sockets - 1, self.supervisor, calls)
         self.started = asyncio.Event()  # it accepts
@@ -109,6 +117,8 @@
         else:
             self.decider.start()
             self.destinations.start()
+        if self.sharing:
+            self.sharing.start()
         if self.door:
             self.door.start()
         self.inbound.start(sock)
@@ -164,6 +174,11 @@
         if self.door and new.door != old.door:
             self.door.reconfigure(new.door)
             log.info("door_reconfigured", extra={"enabled": new.door.enabled})
+        if new.mesh != old.mesh:
+            if self.sharing and new.mesh.peers:
+                self.sharing.reconfigure(new.mesh)
+            else:
+                log.warning("reload_needs_restart", extra={"keys": "mesh.peers"})
 
     async def drain(self) -> None:
         """Take requests a little longer, then refuse new ones, until all that was taken is answered.
@@ -202,6 +217,10 @@
         ready = self.inbound.ready and self.started.is_set()
         return Answer(200, b"ready\n") if ready else Answer(503, b"not ready\n")
 
+    def stats(self) -> Answer:
+        answer = self.decider.stats()
+        return replace(answer, body=answer.body + self.sharing.figures()) if self.sharing else answer
+
     async def hold_out(self, instance_id: str, out: bool) -> Answer:
         """Leave a worker out, or call it back."""
         return await self._obeyed("hold_out", {"id": instance_id, "out": out})
@@ -330,6 +349,8 @@
         if self.operators:
             await self.operators.close()
         await self.inbound.close()
+        if self.sharing:
+            await self.sharing.close()
         if self.succession:
             self.succession.close()
         await self.supervisor.close()
