--- /dev/null
+++ b/robinhill/cordon/errors.py
@@ -0,0 +1,83 @@
+"""What can go wrong with a cordon, and what an operator can do."""
+
+from collections.abc import Sequence
+
+from robinhill.errors import RobinhillError
+
+NAMED = 8  # of a long list of names; an error is read on a terminal
+
+
+def name_some(names: Sequence[str], none: str = "none") -> str:
+    """The first few of a list of names, and how many more there are."""
+    if not names:
+        return none
+    rest = f" and {len(names) - NAMED} more" if len(names) > NAMED else ""
+    return ", ".join(names[:NAMED]) + rest
+
+
+class CordonError(RobinhillError):
+    """A call about cordons can't be carried out."""
+
+
+class CordonMalformed(CordonError):
+    """The call itself is wrong: its ID, target, reason or end. Nothing was changed."""
+
+    advice = "name a target (worker/ID, zone/NAME, kind/NAME or cell/NUMBER), a reason, an end ahead of now"
+
+
+class CordonUnknown(CordonError):
+    """No cordon has the ID that was named; the error names those that exist."""
+
+    advice = "look at the list: it may have ended, be lifted, or not be known here yet"
+
+    def __init__(self, cordon_id: str, known: Sequence[str]) -> None:
+        super().__init__(f"no cordon is called {cordon_id!r}; there are: {name_some(known)}")
+        self.cordon_id = cordon_id
+
+
+class CordonElsewhere(CordonError):
+    """The ID is in use for another target. Nothing was changed."""
+
+    advice = "lift that cordon first, or choose another ID"
+
+    def __init__(self, cordon_id: str, target: str, present: Sequence[str]) -> None:
+        super().__init__(f"{cordon_id!r} can't be for {target!r}: it is for {name_some(present)}")
+        self.cordon_id, self.present = cordon_id, tuple(present)
+
+
+class CordonsFull(CordonError):
+    """A target has as many reasons as it may."""
+
+    advice = "lift what is no longer needed, or use an ID that is there already"
+
+
+class CordonBudgetSpent(CordonError):
+    """An automatic cordon is not in force: it would leave out more of the fleet or of a zone than allowed."""
+
+    advice = "look why so many are bad; cordon it yourself, which no budget forbids, or raise the budget"
+
+
+class NotAccepted(CordonError):
+    """By its deadline no majority of the schedulers was known to hold a change; it goes on spreading."""
+
+    advice = "see which schedulers are down or cut off; the list tells when it is accepted"
+
+    def __init__(self, what: str, missing: Sequence[str]) -> None:
+        super().__init__(f"{what} is stored here but not accepted; not heard from: {name_some(missing)}")
+        self.missing = tuple(missing)
+
+
+class BoundNotMet(CordonError):
+    """By the call's deadline some schedulers had not confirmed the change; it holds and goes on spreading."""
+
+    advice = "those that are named may still act as before: see whether they run, or stop them"
+
+    def __init__(self, what: str, unconfirmed: Sequence[str]) -> None:
+        super().__init__(f"{what} is accepted but not in force; unconfirmed: {name_some(unconfirmed)}")
+        self.unconfirmed = tuple(unconfirmed)
+
+
+class TooManyCalls(CordonError):
+    """As many changes are being followed as may be. Nothing was changed."""
+
+    advice = "call without wait=, or wait till calls that are under way have ended"
