--- a/robinhill/mesh/notices.py
+++ b/robinhill/mesh/notices.py
@@ -1,4 +1,4 @@
-"""What each scheduler says of itself, as a record by its name: which start it is, and what it has carried out.
+"""What each scheduler says of itself, as a record by its name: its start, and what it has carried out.
 
 A scheduler alone writes the record of its name. So the rule for copies that differ is: the later start wins,
 of one start the later word.
@@ -71,9 +71,7 @@
 
 def notice_kind() -> Kind[Notice]:
     """By name of the scheduler; of too many names those that spoke longest ago go first."""
-    return Kind(
-        NAME, encode, decode, merge, LIFETIME_US, BOUND, evict=lambda record: (record.stamp.wall_us, record.key)
-    )
+    return Kind(NAME, encode, decode, merge, LIFETIME_US, BOUND, evict=lambda r: (r.stamp.wall_us, r.key))
 
 
 def digest(*parts: bytes) -> bytes:
--- a/robinhill/mesh/session.py
+++ b/robinhill/mesh/session.py
@@ -1,9 +1,9 @@
 """One link between two schedulers as a state machine: frames in, frames out. No I/O.
 
 After a greeting both sides compare what they hold; every change from the greeting on follows by itself.
-Nothing is queued for a reader: frames are *drawn* when the transport has room, and what is drawn is the newest
-value of each record. A pong counts once all that its sender knew when the ping came is here; leases rest on
-that. Times without a note are monotonic microseconds of this process.
+Nothing is queued for a reader: frames are *drawn* when the transport has room, and what is drawn is the
+newest value of each record. A pong counts once all that its sender knew when the ping came is here; leases
+rest on that. Times without a note are monotonic microseconds of this process.
 """
 
 from collections import deque
@@ -14,7 +14,20 @@
 from robinhill.mesh.comparing import Comparison
 from robinhill.mesh.delivery import Arrivals, Departures, Name
 from robinhill.mesh.frames import (
-    MAX_FRAME, MAX_MEMBERS, PROTOCOL, Again, Aside, Heads, Hello, Ping, Pong, Push, Ranges, Redo, read, write,
+    MAX_FRAME,
+    MAX_MEMBERS,
+    PROTOCOL,
+    Again,
+    Aside,
+    Heads,
+    Hello,
+    Ping,
+    Pong,
+    Push,
+    Ranges,
+    Redo,
+    read,
+    write,
 )  # fmt: skip
 from robinhill.mesh.words import MeshError, PeerRefused, Record
 
@@ -336,7 +349,9 @@
         self._ping_us = mono_us + (min(self.wait_us, self.interval_us) if soon else self.interval_us)
         return write(Ping(self._number, self._went.last))
 
-    def _write_push(self, mono_us: int, records: list[Record], before: int, instead: tuple[int, ...]) -> bytes:
+    def _write_push(
+        self, mono_us: int, records: list[Record], before: int, instead: tuple[int, ...] = ()
+    ) -> bytes:
         number = self._went.wrote([r.name for r in records], before)
         self.pushed += len(records)
         # An answer to a ping right behind it tells that it has come.
@@ -368,7 +383,7 @@
                 self._shown.clear()
             self.skipped += len(records) - len(due)
             if due:
-                return self._write_push(mono_us, due, before, ())
+                return self._write_push(mono_us, due, before)
         return None
 
     def _lacked(self, mono_us: int) -> bytes:
@@ -382,7 +397,7 @@
             if (record := self.store.record(*name)) and self._fits(record):
                 due.append(record)
                 size += len(record.value)
-        return self._write_push(mono_us, due, 0, ())
+        return self._write_push(mono_us, due, 0)
 
     def _fits(self, record: Record) -> bool:
         fits = len(record.value) + len(record.key) <= MAX_FRAME - BATCH_BYTES - ROOM
--- a/robinhill/net/cordons.py
+++ b/robinhill/net/cordons.py
@@ -1,5 +1,5 @@
-"""The actor that owns what schedulers share and the cordons in it: operators' calls, what the decider is told,
-and what this scheduler may still send.
+"""The actor that owns what schedulers share and the cordons in it: operators' calls, what the decider is
+told, and what this scheduler may still send.
 
 What comes from peers is taken in at once (``learned``) and not by the mailbox: the last check before a write
 asks ``may_send``, and an answer that lends a lease must never be known here before the cordon that came ahead
@@ -20,7 +20,13 @@
 from robinhill.cordon import limits, value
 from robinhill.cordon.book import Book, Place, targets_of
 from robinhill.cordon.errors import (
-    BoundNotMet, CordonElsewhere, CordonError, CordonMalformed, CordonUnknown, NotAccepted, TooManyCalls,
+    BoundNotMet,
+    CordonElsewhere,
+    CordonError,
+    CordonMalformed,
+    CordonUnknown,
+    NotAccepted,
+    TooManyCalls,
 )  # fmt: skip
 from robinhill.cordon.promise import Mode, Promise, Promises, Scheduler, Standing, Step
 from robinhill.errors import RobinhillError
@@ -225,7 +231,7 @@
         for record, error in learned.declined:
             log.warning(
                 "record_declined",
-                extra={"kind": record.kind, "key": record.key, "from": record.stamp.origin, "why": str(error)},
+                extra={"kind": record.kind, "key": record.key, "why": str(error)},
             )
         if cordons:
             self._update()
@@ -353,6 +359,24 @@
         ):
             each.promise.confirmed(mono_us(), name, notice.incarnation)
 
+    def reconfigure(self, options: MeshOptions, names: Iterable[str]) -> None:
+        """Other schedulers are configured now."""
+        now = mono_us()
+        self.options, self.names = options, tuple(sorted(names))
+        for gone in self._peers.keys() - set(self.names):
+            del self._peers[gone]
+            for promise in self.promises.under_way():
+                promise.removed(now, gone)
+        for name in self.names:
+            if name != self.me and name not in self._peers:
+                self._peers[name] = _Peer()
+                notice = self.replica.value(notices.NAME, name)
+                if isinstance(notice, Notice):
+                    self._word(name, notice)
+                self._heard(name)
+        self._write_notice()
+        self._review()
+
     # Catching up
 
     def _age_s(self) -> float:
@@ -424,9 +448,9 @@
         done = self._applied_whole == self.applied.all
         recent = tuple((t, d) for t in self._recent if (d := self.applied.get(t))) if done else ()
         notice = Notice(
-            notices.VERSION, self.incarnation, self._serial, self.options.on_lost, self.options.bound_ms * 1000,
-            self.freshness.caught_up, self.serving, left, notices.list_digest(self.names), self._applied_whole,
-            recent, tuple(self._starts.items()),
+            notices.VERSION, self.incarnation, self._serial, self.options.on_lost,
+            self.options.bound_ms * 1000, self.freshness.caught_up, self.serving, left,
+            notices.list_digest(self.names), self._applied_whole, recent, tuple(self._starts.items()),
         )  # fmt: skip
         try:
             self.replica.write(now_us, notices.NAME, self.me, notice)
@@ -531,9 +555,9 @@
                 self._waiters.remove(waiter)
                 waiter.reply.set_result(self._outcome(waiter, now))
         waited = {id(w.open) for w in self._waiters}
-        self._opens = [
-            o for o in self._opens if id(o) in waited or o.promise.step is not Step.IN_FORCE
-        ][-limits.PROMISES :]
+        self._opens = [o for o in self._opens if id(o) in waited or o.promise.step is not Step.IN_FORCE][
+            -limits.PROMISES :
+        ]
 
     def _outcome(self, waiter: _Waiter, now: int) -> Answer:
         promise = waiter.open.promise
@@ -583,13 +607,16 @@
     def _behind(self, target: str) -> list[str]:
         """Schedulers whose last word does not show that they go by what is held here of a target."""
         digest = self.applied.get(target)
-        return [
-            name
-            for name, peer in sorted(self._peers.items())
-            if not (n := peer.notice)
-            or not (n.applied == self.applied.all or (digest is not None and dict(n.recent).get(target) == digest))
-            or n.incarnation < peer.incarnation
-        ]
+        behind = []
+        for name, peer in sorted(self._peers.items()):
+            word = peer.notice
+            if word is None or word.incarnation < peer.incarnation:
+                behind.append(name)
+            elif word.applied != self.applied.all and (
+                digest is None or dict(word.recent).get(target) != digest
+            ):
+                behind.append(name)
+        return behind
 
     def _stand(self, name: str, now: int) -> Json:
         scheduler = self._scheduler(name)
@@ -605,8 +632,11 @@
 
     def _lease(self, now: int) -> Json:
         age = self.freshness.age_us(now)
-        return {"on_lost": self.options.on_lost, "held": self.freshness.holds_lease(now),
-                "majority_known_ms_ago": None if age is None else age / 1000, "vouched": self.vouched}  # fmt: skip
+        return {
+            "on_lost": self.options.on_lost,
+            "held": self.freshness.holds_lease(now),
+            "majority_known_ms_ago": None if age is None else age / 1000,
+        }
 
     def figures(self) -> list[str]:
         """Lines for operators, without their prefix."""
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -530,9 +530,7 @@
         The list is late: a restart during an outage may not be on it yet. Taken for warm, a cold worker would
         be pushed over.
         """
-        if d.lifecycle is Lifecycle.ACTIVE and (
-            self._is_out(d, d.instance_id) or not self.cordons.vouched
-        ):
+        if d.lifecycle is Lifecycle.ACTIVE and (self._is_out(d, d.instance_id) or not self.cordons.vouched):
             return replace(d, lifecycle=Lifecycle.LEAVING)
         out_us, back_us = self.outages.get(d.instance_id, (0, 0))
         return replace(d, started_us=back_us) if back_us and d.started_us < out_us else d
@@ -580,7 +578,7 @@
             for d in self.listed():
                 self._update(d)
             self._decide(api.WorkersListed(api.ListKind.CACHED, [self._worker(d) for d in self.listed()]))
-        # Endpoints have this in their mailboxes, which the loop empties before it comes to what is called now.
+        # Endpoints have this in their mailboxes, which the loop empties before it comes to what we call now.
         asyncio.get_running_loop().call_soon(message.applied)
 
     def _worker(self, d: Destination) -> api.Worker:
--- a/robinhill/net/peerlink.py
+++ b/robinhill/net/peerlink.py
@@ -1,4 +1,4 @@
-"""The transport of one link to a peer: a websocket whose frames are drawn when there is room, and handed in."""
+"""The transport of one link to a peer: a websocket whose frames are drawn when there is room."""
 
 import asyncio
 import contextlib
--- a/robinhill/net/peers.py
+++ b/robinhill/net/peers.py
@@ -297,7 +297,7 @@
         self.links[name] = link
         log.info(
             "peer_linked",
-            extra={"peer": name, "dialled": link.dialled, "incarnation": incarnation, "links": len(self.links)},
+            extra={"peer": name, "dialled": link.dialled, "links": len(self.links)},
         )
         return True
 
--- a/robinhill/net/sharing.py
+++ b/robinhill/net/sharing.py
@@ -7,16 +7,18 @@
 import logging
 import random
 from collections.abc import Iterable
+from dataclasses import replace
 from typing import Any
 
 from robinhill.config import Address, Config, ConfigError
 from robinhill.cordon.value import cordon_kind
+from robinhill.mesh.clocks import LONGEST_LIFETIME_US
 from robinhill.mesh.freshness import Freshness
-from robinhill.mesh.kinds import drain_kind, evidence_kind, request_kind
+from robinhill.mesh.kinds import DRAIN, SEEN, requests
 from robinhill.mesh.notices import notice_kind
 from robinhill.mesh.options import MeshOptions
 from robinhill.mesh.replica import Replica
-from robinhill.mesh.session import Answered, Identity, Learned
+from robinhill.mesh.session import Identity
 from robinhill.mesh.words import Kind
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
@@ -30,6 +32,7 @@
 log = logging.getLogger(__name__)
 
 COLLECT_S = 1.0  # what is over leaves memory within a second or so
+LONGEST_WINDOW_US = 600_000_000  # in which a client repeats a keyed request
 LEAVE_S = 0.1  # for our last word to reach partners
 
 
@@ -129,7 +132,9 @@
 
 
 def _kinds() -> Iterable[Kind[Any]]:
-    return (cordon_kind(), notice_kind(), drain_kind(), evidence_kind(), request_kind())
+    cordons = cordon_kind()
+    cordons = replace(cordons, lifetime_us=min(cordons.lifetime_us, LONGEST_LIFETIME_US))
+    return (cordons, notice_kind(), DRAIN, SEEN, requests(LONGEST_WINDOW_US))
 
 
 def _names(options: MeshOptions, own: str) -> tuple[str, ...]:
