--- a/robinhill/mesh/delivery.py
+++ b/robinhill/mesh/delivery.py
@@ -1,6 +1,7 @@
 """Which pushes have come, and what was in those that have not: numbers and names only, in bounded memory."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from robinhill.mesh.words import PeerRefused
 
@@ -32,12 +33,21 @@
         return tuple(n for n in range(self.low + 1, last + 1) if n not in self._beyond)[:MAX_ASKED]
 
 
+@dataclass(slots=True, frozen=True)
+class Pushed:
+    """What a push held; ``before``: our cursor then; ``instead``: lost pushes that it stands for."""
+
+    names: tuple[Name, ...]
+    before: int
+    instead: tuple[int, ...] = ()
+
+
 class Departures:
-    """Pushes that are written and not confirmed: which records each held, and our cursor before it."""
+    """Pushes that are written and not confirmed."""
 
     def __init__(self) -> None:
         self.last = 0
-        self._out: dict[int, tuple[tuple[Name, ...], int]] = {}
+        self._out: dict[int, Pushed] = {}
         self._again: dict[int, None] = {}
 
     @property
@@ -48,23 +58,22 @@
     def unconfirmed(self) -> bool:
         return bool(self._out)
 
-    def wrote(self, names: Iterable[Name], cursor: int) -> int:
+    def wrote(self, pushed: Pushed) -> int:
         """The number of a new push."""
         self.last += 1
-        self._out[self.last] = tuple(names), cursor
+        self._out[self.last] = pushed
         return self.last
 
     def lost(self, numbers: Iterable[int]) -> None:
         self._again.update((n, None) for n in numbers if n in self._out)
 
-    def again(self) -> tuple[int, tuple[Name, ...], int] | None:
-        """A push that was lost: its number, its records and the cursor before it."""
+    def again(self) -> Pushed | None:
+        """A push that was lost, as what is to be written in its place."""
         while self._again:
             number = next(iter(self._again))
             del self._again[number]
-            if number in self._out:
-                names, cursor = self._out.pop(number)
-                return number, names, cursor
+            if lost := self._out.pop(number, None):
+                return Pushed(lost.names, lost.before, (*lost.instead, number))
         return None
 
     def confirmed(self, low: int) -> None:
@@ -73,4 +82,4 @@
 
     def held(self, cursor: int) -> int:
         """Up to where the other side has our changes."""
-        return min((before for _, before in self._out.values()), default=cursor)
+        return min((pushed.before for pushed in self._out.values()), default=cursor)
--- a/robinhill/mesh/frames.py
+++ b/robinhill/mesh/frames.py
@@ -38,10 +38,14 @@
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
-    """Answer once all that you know now is written; pushes up to ``pushed`` went before this."""
+    """Answer once all that you know now is written; pushes up to ``pushed`` went before this.
+
+    ``low``: all of the reader's pushes up to this number are here.
+    """
 
     number: int
     pushed: int
+    low: int
 
 
 class Pong(msgspec.Struct, frozen=True, array_like=True, tag="pong"):
@@ -77,20 +81,27 @@
     digests: bytes
 
 
-class Heads(msgspec.Struct, frozen=True, array_like=True, tag="heads"):
-    """Kind, key and digest of the records in one range, in ``parts`` frames."""
+class Part(msgspec.Struct, frozen=True, array_like=True):
+    """Kind, key and digest of records in one range: all of them, or the part of that number."""
 
-    round: int
     index: int
     part: int
     parts: int
     heads: tuple[tuple[str, str, bytes], ...]
 
 
+class Heads(msgspec.Struct, frozen=True, array_like=True, tag="heads"):
+    """What there is in ranges that differ."""
+
+    round: int
+    parts: tuple[Part, ...]
+
+
 class Redo(msgspec.Struct, frozen=True, array_like=True, tag="redo"):
-    """Some of this round did not come: open another."""
+    """The heads of these ranges did not come."""
 
     round: int
+    indices: tuple[int, ...]
 
 
 class Aside(msgspec.Struct, frozen=True, array_like=True, tag="aside"):
--- a/robinhill/mesh/session.py
+++ b/robinhill/mesh/session.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from robinhill.mesh.comparing import Comparison
-from robinhill.mesh.delivery import Arrivals, Departures, Name
+from robinhill.mesh.delivery import Arrivals, Departures, Name, Pushed
 from robinhill.mesh.frames import (
     MAX_FRAME,
     MAX_MEMBERS,
@@ -34,7 +34,7 @@
 BATCH = 256  # records in a push at most, fewer where they are large: a pong must not wait behind a long one
 BATCH_BYTES = 64 << 10
 ROOM = 4 << 10  # bytes of a frame round the value of a record
-PING_GAP_US = 10_000  # between two pings, also where changes follow each other closely
+PING_GAP_US = 25_000  # between two pings, also where changes follow each other closely
 FIRST_WAIT_US = 250_000  # for an answer, while the round trip is not known
 MIN_WAIT_US = 50_000
 MAX_PINGS = 8  # that may be out
@@ -185,6 +185,7 @@
             case Push():
                 return self._push(now_us, mono_us, frame)
             case Ping():
+                self._confirmed(frame.low)
                 self._ask_again = self._came.lacking(frame.pushed)
                 if self._owed is None:  # else that answer is on its way, and the next ping asks again
                     self._owed = _Owed(
@@ -202,7 +203,7 @@
             case Heads():
                 self.comparison.heads(mono_us, frame)
             case Redo():
-                self.comparison.redo(now_us, mono_us, frame)
+                self.comparison.redo(frame)
             case Aside(words=words):
                 return [Told(words)]
         return []
@@ -252,9 +253,7 @@
 
     def _pong(self, mono_us: int, pong: Pong) -> list[Event]:
         assert self.peer
-        self._went.confirmed(min(pong.low, self._went.last))
-        if self._whole:
-            self.held = max(self.held, self._went.held(self.cursor))
+        self._confirmed(pong.low)
         if (lacking := self._came.lacking(pong.pushed)) or pong.pushed > self._came.low:
             self._ask_again = lacking
             self._early = [*self._early[1 - MAX_PINGS :], pong]
@@ -272,6 +271,12 @@
         self.ages.answered(mono_us, self.peer.name, pong.number, ages_us, starting_us)
         return [Answered(pong.number, took_us, self.held)]
 
+    def _confirmed(self, low: int) -> None:
+        """The peer has all our pushes up to this one."""
+        self._went.confirmed(min(low, self._went.last))
+        if self._whole:
+            self.held = max(self.held, self._went.held(self.cursor))
+
     # Out
 
     def ask(self) -> None:
@@ -311,7 +316,7 @@
         if self._ask_again:
             numbers, self._ask_again = self._ask_again, ()
             return write(Again(numbers))
-        if frame := self._said_again() or self._changes(mono_us) or self._answer():
+        if frame := self._said_again(mono_us) or self._changes(mono_us) or self._answer():
             return frame
         if mono_us >= self._ping_us:
             return self._ping(mono_us)
@@ -347,24 +352,21 @@
         self._last_ping_us = mono_us
         soon = self._went.unconfirmed or len(self._asked) > 1
         self._ping_us = mono_us + (min(self.wait_us, self.interval_us) if soon else self.interval_us)
-        return write(Ping(self._number, self._went.last))
+        return write(Ping(self._number, self._went.last, self._came.low))
 
-    def _write_push(
-        self, mono_us: int, records: list[Record], before: int, instead: tuple[int, ...] = ()
-    ) -> bytes:
-        number = self._went.wrote([r.name for r in records], before)
+    def _write_push(self, mono_us: int, records: list[Record], pushed: Pushed) -> bytes:
+        number = self._went.wrote(pushed)
         self.pushed += len(records)
         # An answer to a ping right behind it tells that it has come.
         self._ping_us = min(self._ping_us, max(mono_us, self._last_ping_us + PING_GAP_US))
-        return write(Push(number, tuple(records), instead))
+        return write(Push(number, tuple(records), pushed.instead))
 
-    def _said_again(self) -> bytes | None:
+    def _said_again(self, mono_us: int) -> bytes | None:
         """A push that was lost, with the newest values."""
         if (lost := self._went.again()) is None:
             return None
-        number, names, before = lost
-        records = [r for name in names if (r := self.store.record(*name)) and self._fits(r)]
-        return self._write_push(self._last_ping_us + PING_GAP_US, records, before, (number,))
+        records = [r for name in lost.names if (r := self.store.record(*name)) and self._fits(r)]
+        return self._write_push(mono_us, records, lost)
 
     def _changes(self, mono_us: int) -> bytes | None:
         """The changes behind the cursor, without what the peer has shown that it has."""
@@ -383,7 +385,7 @@
                 self._shown.clear()
             self.skipped += len(records) - len(due)
             if due:
-                return self._write_push(mono_us, due, before)
+                return self._write_push(mono_us, due, Pushed(tuple(r.name for r in due), before))
         return None
 
     def _lacked(self, mono_us: int) -> bytes:
@@ -397,7 +399,7 @@
             if (record := self.store.record(*name)) and self._fits(record):
                 due.append(record)
                 size += len(record.value)
-        return self._write_push(mono_us, due, 0)
+        return self._write_push(mono_us, due, Pushed(tuple(r.name for r in due), 0))
 
     def _fits(self, record: Record) -> bool:
         fits = len(record.value) + len(record.key) <= MAX_FRAME - BATCH_BYTES - ROOM
--- a/robinhill/net/cordons.py
+++ b/robinhill/net/cordons.py
@@ -39,7 +39,7 @@
 from robinhill.mesh.words import StateFull
 from robinhill.net.actor import Actor, Supervisor
 from robinhill.net.clock import Clock
-from robinhill.net.decider import Cordoned
+from robinhill.net.decider import Cordoned, Lease
 from robinhill.net.messages import Answer, Destination
 from robinhill.net.peers import mono_us
 
@@ -155,7 +155,7 @@
         freshness: Freshness,
         supervisor: Supervisor,
         clock: Clock,
-        decider: Callable[[Cordoned], None],
+        decider: Callable[[Cordoned | Lease], None],
         listed: Callable[[], list[Destination]],
     ) -> None:
         super().__init__("cordons", supervisor)
@@ -172,7 +172,6 @@
         self.on_serving: Callable[[], None] = lambda: None
         self.book = Book()
         self.targets: frozenset[str] = frozenset()
-        self.vouched = self._may_vouch()
         self.applied = Applied()
         self.promises = Promises()
         self._opens: list[_Open] = []
@@ -189,6 +188,7 @@
         self._undo: list[str] = []
         self._applied_whole = self.applied.all
         self._next_end_us = 0
+        self._leased = True
         self._timer: asyncio.TimerHandle | None = None
         self._catch_up_us = 0
         self.caught_up_in_us: int | None = None
@@ -220,7 +220,7 @@
         """Whether a worker may get something new at this moment."""
         if _covers(self.targets, worker):
             return False
-        return self.options.on_lost == "serve" or self.freshness.holds_lease(mono_us())
+        return self.lease()
 
     # From peers, at once
 
@@ -257,7 +257,7 @@
             self.vouch("learned from a majority")
         if not self.serving:
             self._maybe_serve()
-        if not self.vouched:
+        if not self._leased:
             self._check_lease()
 
     def vouch(self, why: str) -> None:
@@ -416,9 +416,7 @@
         self._told += 1
         self._tellings[self._told] = _Telling(self.applied.all, list(self._recent))
         number, targets = self._told, self.targets
-        self.decider(
-            Cordoned(lambda d: _covers(targets, d), self.vouched, lambda: self.tell(AppliedNow(number)))
-        )
+        self.decider(Cordoned(lambda d: _covers(targets, d), lambda: self.tell(AppliedNow(number))))
 
     def _applied_now(self, number: int) -> None:
         telling = self._tellings.pop(number)
@@ -427,20 +425,14 @@
             # What has changed since is told to the decider by a later number, and confirmed with that one.
             self._write_notice()
 
-    def _may_vouch(self) -> bool:
+    def lease(self) -> bool:
+        """Whether this scheduler may send at all: under ``hold`` only while it can't be behind."""
         return self.options.on_lost == "serve" or self.freshness.holds_lease(mono_us())
 
     def _check_lease(self) -> None:
-        vouched = self._may_vouch()
-        if vouched is self.vouched:
-            return
-        self.vouched = vouched
-        log.log(
-            logging.INFO if vouched else logging.WARNING,
-            "lease_regained" if vouched else "lease_lost",
-            extra={"unheard": ",".join(n for n in self._peers if not self._peers[n].linked) or "none"},
-        )
-        self._tell_decider()
+        if (held := self.lease()) is not self._leased:
+            self._leased = held
+            self.decider(Lease())
 
     def _write_notice(self, left: bool = False) -> None:
         now_us = self.clock.now_us()
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -92,16 +92,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Cordoned:
-    """What cordons ``cover`` gets nothing new; nor does any worker unless this scheduler is ``vouched`` for.
-
-    ``applied`` is called once no endpoint can send by what was told before.
-    """
+    """What cordons ``cover`` gets nothing new. ``applied`` is called once no endpoint goes by older ones."""
 
     cover: Callable[[Destination], bool]
-    vouched: bool
     applied: Callable[[], None]
 
 
+@dataclass(slots=True, frozen=True)
+class Lease:
+    """Whether this scheduler may send may have changed."""
+
+
 @dataclass(slots=True, frozen=True)
 class Release:
     """The successor is to go on with a request; ``reply`` gets what it needs, or None while it can't go."""
@@ -121,7 +122,7 @@
 
 
 ToDecider = (
-    Taken | ClientLeft | Listed | HoldOut | Cordoned | Release | Adopt | Due | JobEvent
+    Taken | ClientLeft | Listed | HoldOut | Cordoned | Lease | Release | Adopt | Due | JobEvent
     | ep.Started | ep.Ended | ep.Probed | ep.Retired | ep.Gone
 )  # fmt: skip
 
@@ -178,7 +179,9 @@
         self.held_out = self.state.held_out()  # endpoints that operators want left out
         # Since when, and until when, operators had an endpoint out; the file tells no times.
         self.outages = {instance_id: (clock.now_us(), 0) for instance_id in self.held_out}
-        self.cordons = Cordoned(lambda d: False, True, lambda: None)  # as told last
+        self.cordons: Cordoned | None = None  # as told last
+        self.lease: Callable[[], bool] | None = None  # whether anything may be sent; None: always
+        self.vouched = True  # as the module was told
         self.may_send: Callable[[Destination], bool] | None = None  # asked right before each write
         self.list_changed: Callable[[], None] | None = None  # hears when discovery has told of workers
         self.zones = list(config.zones)
@@ -190,6 +193,8 @@
         super().start()
 
     def receive(self, message: ToDecider) -> None:
+        if self.lease and self.lease() is not self.vouched:
+            self._vouch(not self.vouched)
         match message:
             case Taken():
                 self._taken(message)
@@ -530,7 +535,7 @@
         The list is late: a restart during an outage may not be on it yet. Taken for warm, a cold worker would
         be pushed over.
         """
-        if d.lifecycle is Lifecycle.ACTIVE and (self._is_out(d, d.instance_id) or not self.cordons.vouched):
+        if d.lifecycle is Lifecycle.ACTIVE and (self._is_out(d, d.instance_id) or not self.vouched):
             return replace(d, lifecycle=Lifecycle.LEAVING)
         out_us, back_us = self.outages.get(d.instance_id, (0, 0))
         return replace(d, started_us=back_us) if back_us and d.started_us < out_us else d
@@ -560,13 +565,15 @@
 
     def _is_out(self, d: Destination | None, instance_id: str) -> bool:
         """Whether operators have said that an endpoint gets nothing, here or at any scheduler."""
-        return instance_id in self.held_out or (d is not None and self.cordons.cover(d))
+        return instance_id in self.held_out or (
+            self.cordons is not None and d is not None and self.cordons.cover(d)
+        )
 
     def _cordoned(self, message: Cordoned) -> None:
         """Leave out what is cordoned now, and call back what is no longer: it counts as started just now."""
         now = self.clock.now_us()
         before = {d.instance_id: self._is_out(d, d.instance_id) for d in self.listed()}
-        moved, self.cordons = message.vouched is not self.cordons.vouched, message
+        moved, self.cordons = False, message
         for d in self.listed():
             name = d.instance_id
             if (out := self._is_out(d, name)) is before[name]:
@@ -575,12 +582,25 @@
             log.info("cordoned" if out else "uncordoned", extra={"endpoint": name})
             self.outages[name] = (now, 0) if out else (self.outages.get(name, (now, 0))[0], now)
         if moved:
-            for d in self.listed():
-                self._update(d)
-            self._decide(api.WorkersListed(api.ListKind.CACHED, [self._worker(d) for d in self.listed()]))
+            self._tell_anew()
         # Endpoints have this in their mailboxes, which the loop empties before it comes to what we call now.
         asyncio.get_running_loop().call_soon(message.applied)
 
+    def _vouch(self, yes: bool) -> None:
+        """This scheduler may be behind on cordons: nothing new goes out while it may; or no longer.
+
+        No worker has been away, so none counts as started when it is over.
+        """
+        self.vouched = yes
+        log.log(logging.INFO if yes else logging.WARNING, "lease_regained" if yes else "lease_lost")
+        self._tell_anew()
+
+    def _tell_anew(self) -> None:
+        """Told as the list of before: changes would be word of discovery, and the module stop asking it."""
+        for d in self.listed():
+            self._update(d)
+        self._decide(api.WorkersListed(api.ListKind.CACHED, [self._worker(d) for d in self.listed()]))
+
     def _worker(self, d: Destination) -> api.Worker:
         """The module's view: names become numbers, in the order of the settings, then of their coming."""
         d = self._effective(d)
--- a/robinhill/net/sharing.py
+++ b/robinhill/net/sharing.py
@@ -67,6 +67,8 @@
         self.cordons.on_serving = self._serve
         inbound.behind = True
         decider.may_send = self.cordons.may_send
+        if options.on_lost == "hold":
+            decider.lease = self.cordons.lease
         decider.list_changed = lambda: self.cordons.tell(ListChanged())
         log.info(
             "sharing",
