--- a/robinhill/cordon/limits.py
+++ b/robinhill/cordon/limits.py
@@ -9,7 +9,8 @@
 MAX_ID = 128
 MAX_TARGET = 512  # 'worker/' and an instance ID, with ample room
 MAX_TEXT = 500
-MAX_BY = 128
+MAX_NAME = 128  # of who asked, an observer, a scheduler
+MAX_CALL = 4_096  # bytes of a call's body: all texts at their longest, escaped
 MAX_OBSERVERS = 16  # named in an automatic reason; more would only make the line longer
 
 # A target. Honest writers stop at REASONS; what merges from many that wrote at once may exceed it, up to
@@ -21,7 +22,7 @@
 MAX_NUMBER = 2**62  # Unix microseconds of the year 146,000; fits MessagePack and every file
 
 TARGETS = 8_192  # one for each of 1,000 workers, eight generations of them
-KEEP_US = 400 * DAY_US  # a cordon without end is looked at once a year
+KEEP_US = 400 * DAY_US  # of what has no end; it is written once more at half of it
 KEEP_LIFTED_US = 7 * DAY_US  # longer than anyone repairs a scheduler that may come back with an old copy
 FORGET_ENDED_US = DAY_US  # past its end by more than clocks may differ and repeats are counted
 
--- a/robinhill/cordon/value.py
+++ b/robinhill/cordon/value.py
@@ -22,6 +22,7 @@
 NAME = "cordon"
 VERSION = 1
 AUTOMATIC = "auto-"  # how the IDs of automatic reasons begin, and no operator's
+_LINE = re.compile("[^\x00-\x1f\x7f-\x9f\u2028\u2029]*")  # isprintable() differs by Python's version
 _ID = re.compile(rf"[A-Za-z0-9][A-Za-z0-9._:@-]{{0,{limits.MAX_ID - 1}}}")
 _TARGET = re.compile(r"(worker|zone|kind)/\S(.*\S)?|cell/(0|-?[1-9][0-9]{0,17})")
 
@@ -39,6 +40,9 @@
     def writer(self) -> tuple[str, int]:
         return self.origin, self.incarnation
 
+    def __str__(self) -> str:
+        return f"{self.origin}/{self.incarnation}/{self.counter}"
+
 
 class Reason(msgspec.Struct, frozen=True, array_like=True, order=True):
     """Why a target gets nothing new. ``until_us`` 0: until it is lifted.
@@ -197,7 +201,8 @@
 def until_us(value: Cordons, now_us: int) -> int:
     """How long a record of this value is to be kept when it is written now.
 
-    Where nothing without an end stands, long enough after the last end that no old copy comes back.
+    Where nothing without an end stands, long enough after the last end that no old copy comes back. Where two
+    copies are merged the later of their times holds: a lift's shorter one is no word on what it has not seen.
     """
     ends = [e.reason.until_us for e in value.entries]
     if 0 in ends:
@@ -205,9 +210,15 @@
     return min(max([now_us, *ends]) + limits.KEEP_LIFTED_US, now_us + limits.KEEP_US)
 
 
+def fades(value: Cordons, kept_until_us: int, now_us: int) -> bool:
+    """Whether a record must be written once more, with the same value, so that what has no end is kept."""
+    endless = any(not e.reason.until_us for e in value.entries)
+    return endless and kept_until_us < now_us + limits.KEEP_US // 2
+
+
 def check_target(target: str) -> str:
     """The target, or CordonMalformed."""
-    if len(target) > limits.MAX_TARGET or not target.isprintable() or not _TARGET.fullmatch(target):
+    if len(target) > limits.MAX_TARGET or not _LINE.fullmatch(target) or not _TARGET.fullmatch(target):
         raise CordonMalformed(f"{target[:80]!r} is no target")
     return target
 
@@ -221,6 +232,10 @@
     return cordon_id
 
 
+def _is_line(text: str, most: int) -> bool:
+    return len(text) <= most and _LINE.fullmatch(text) is not None
+
+
 def is_id(text: str) -> bool:
     return _ID.fullmatch(text) is not None
 
@@ -228,10 +243,10 @@
 def check_reason(reason: Reason, now_us: int) -> None:
     """CordonMalformed unless the reason can be written now; a peer's is held to less, see ``decode``."""
     check_id(reason.id, automatic=reason.automatic)
-    if not reason.text.strip() or len(reason.text) > limits.MAX_TEXT or not reason.text.isprintable():
+    if not reason.text.strip() or not _is_line(reason.text, limits.MAX_TEXT):
         raise CordonMalformed(f"the reason must be one line of 1 to {limits.MAX_TEXT} characters")
-    if len(reason.by) > limits.MAX_BY or not reason.by.isprintable():
-        raise CordonMalformed(f"who asks must be named in one line of at most {limits.MAX_BY} characters")
+    if not _is_line(reason.by, limits.MAX_NAME):
+        raise CordonMalformed(f"who asks must be named in one line of at most {limits.MAX_NAME} characters")
     if reason.until_us < 0 or reason.ended(now_us):
         raise CordonMalformed("the end is over already")
     if reason.until_us > now_us + limits.MAX_END_US:
@@ -338,6 +353,8 @@
     if dots != sorted(set(dots)):
         return "entries out of order"
     for s in value.seen:
+        if not _is_line(s.origin, limits.MAX_NAME):
+            return "a name out of bounds"
         if not s.ranges or s.ranges != _joined(s.ranges) or any(low > high for low, high in s.ranges):
             return "ranges out of order"
         if not (1 <= s.ranges[0][0] and s.ranges[-1][1] <= limits.MAX_NUMBER):
@@ -346,8 +363,10 @@
         if not _covers(seen, e.dot):
             return "an entry that was not seen"
         r = e.reason
-        if not is_id(r.id) or len(r.text) > limits.MAX_TEXT or len(r.by) > limits.MAX_BY:
+        if not is_id(r.id) or not _is_line(r.text, limits.MAX_TEXT):
             return "an ID or text out of bounds"
+        if not all(_is_line(name, limits.MAX_NAME) for name in (r.by, r.cause, *r.observers)):
+            return "a name out of bounds"
         if not (0 <= r.since_us <= limits.MAX_NUMBER and 0 <= r.until_us <= limits.MAX_NUMBER):
             return "times out of bounds"
         if len(r.observers) > limits.MAX_OBSERVERS or (r.automatic and not r.until_us):
