--- a/robinhill/cordon/limits.py
+++ b/robinhill/cordon/limits.py
@@ -8,7 +8,7 @@
 # What one may be called. An ID is a part of a URL's path; texts are one line of an operator's terminal.
 MAX_ID = 128
 MAX_TARGET = 512  # 'worker/' and an instance ID, with ample room
-MAX_TEXT = 500
+MAX_TEXT = 200
 MAX_NAME = 128  # of who asked, an observer, a scheduler
 MAX_CALL = 4_096  # bytes of a call's body: all texts at their longest, escaped
 MAX_OBSERVERS = 16  # named in an automatic reason; more would only make the line longer
@@ -17,13 +17,12 @@
 # what a hostile peer could make us hold: beyond that its words are refused.
 REASONS = 32
 MAX_ENTRIES = 1_024
-MAX_WRITERS = 4_096  # 200 schedulers, each started 20 times while one target was never wholly lifted
-MAX_RANGES = 8_192
+MAX_WRITERS = 2_048  # 200 schedulers, each started 10 times while one target was never without a cordon
+MAX_RANGES = 4_096
 MAX_NUMBER = 2**62  # Unix microseconds of the year 146,000; fits MessagePack and every file
 
 TARGETS = 8_192  # one for each of 1,000 workers, eight generations of them
-KEEP_US = 400 * DAY_US  # of what has no end; it is written once more at half of it
-KEEP_LIFTED_US = 7 * DAY_US  # longer than anyone repairs a scheduler that may come back with an old copy
+KEEP_US = 30 * DAY_US  # longer than anyone repairs a scheduler; what lasts longer is written anew in time
 FORGET_ENDED_US = DAY_US  # past its end by more than clocks may differ and repeats are counted
 
 MAX_END_US = 366 * DAY_US  # a later end is a slip of the pen: leave it out
--- a/robinhill/cordon/promise.py
+++ b/robinhill/cordon/promise.py
@@ -1,12 +1,12 @@
 """What a call about cordons may tell, and when: stored, accepted, in force, or who has not confirmed.
 
 A *set* goes received -> stored here -> accepted -> in force. Accepted under ``hold``: a majority of the
-configured schedulers hold it; under ``serve``: as soon as it is stored here. In force: each scheduler that
-could still send has confirmed, *after its last send to the target's workers*, that it holds it; or its
-process has ended; or it is known to keep to ``hold`` and the bound is over since a majority was known to hold
-it (docs/mesh.md says why no send can come later; going over to ``serve`` while cut off breaks the contract,
-so the mode is to be the same at all). A *lift* is in force once each has confirmed: a scheduler that is cut
-off goes on leaving the worker out, whatever time passes.
+configured schedulers hold it (the mesh counts them); under ``serve``: as soon as it is stored here. In force:
+each scheduler that could still send has confirmed, *after its last send to the target's workers*, that it
+holds it; or its process has ended; or it is known to keep to ``hold`` and the bound is over since a majority
+was known to hold it (docs/mesh.md says why no send can come later; going over to ``serve`` while cut off
+breaks the contract, so the mode is to be the same at all). A *lift* is in force once each has confirmed: a
+scheduler that is cut off goes on leaving the worker out, whatever time passes.
 
 That a scheduler is not heard from (suspect, gone) proves nothing: it may be on the far side of a broken link
 and send. Nor does what a process confirmed bind the next one of the same name, which may have lost its state.
@@ -14,7 +14,7 @@
 Times are microseconds of this process's monotonic clock, ``mono_us``, never compared with another's.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 
@@ -50,17 +50,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Scheduler:
-    """One scheduler as known here. ``mode`` and ``bound_us`` are its own word, None and 0 before it came.
-
-    ``caught_up``: that it counts for majorities, which it does not from its start until it has caught up.
-    """
+    """One scheduler as known here. ``mode`` and ``bound_us`` are its own word, None and 0 before it came."""
 
     name: str
     incarnation: int = 0
     standing: Standing = Standing.UNHEARD
     mode: Mode | None = None
     bound_us: int = 0
-    caught_up: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,24 +98,23 @@
         self._schedulers = {s.name: s for s in schedulers}
         if me not in self._schedulers:
             raise ValueError(f"{me} is not among the schedulers")
-        self._holds: dict[str, int] = {}  # the incarnation that was shown to hold it
         self._confirmed: dict[str, int] = {}  # the incarnation that confirmed
 
     def stored(self, mono_us: int) -> None:
         """It is written here (and on disk, where there is one)."""
-        self._holds[self.me] = self._schedulers[self.me].incarnation
         self.step = max(self.step, Step.STORED)
         self.look(mono_us)
 
-    def holds(self, mono_us: int, name: str, incarnation: int) -> None:
-        """A scheduler has shown that it holds the change."""
-        self._note(self._holds, name, incarnation)
+    def accepted(self, mono_us: int) -> None:
+        """A majority is known to hold it since now; that stays so, whatever becomes of its members."""
+        if self.majority_us is None:
+            self.majority_us = mono_us
         self.look(mono_us)
 
     def confirmed(self, mono_us: int, name: str, incarnation: int) -> None:
         """A scheduler says: its dispatcher has taken the change in, and sent its last before."""
-        self._note(self._holds, name, incarnation)
-        self._note(self._confirmed, name, incarnation)
+        if name in self._schedulers:
+            self._confirmed[name] = max(incarnation, self._confirmed.get(name, incarnation))
         self.look(mono_us)
 
     def heard(self, mono_us: int, scheduler: Scheduler) -> None:
@@ -132,14 +127,12 @@
     def removed(self, mono_us: int, name: str) -> None:
         """Operators took a scheduler out of the installation: their word that it runs no more."""
         if name != self.me:
-            for book in (self._schedulers, self._holds, self._confirmed):
-                book.pop(name, None)
+            self._schedulers.pop(name, None)
+            self._confirmed.pop(name, None)
         self.look(mono_us)
 
     def look(self, mono_us: int) -> Step:
         """Go on as far as what is known allows."""
-        if self.majority_us is None and self.step >= Step.STORED and self._majority():
-            self.majority_us = mono_us
         if self.step is Step.STORED and (self.mode is Mode.SERVE or self.majority_us is not None):
             self.step = Step.ACCEPTED
         if self.step is Step.ACCEPTED and not self.unconfirmed(mono_us):
@@ -153,11 +146,6 @@
         waits = (self._why(s, mono_us) for _, s in sorted(self._schedulers.items()))
         return tuple(u for u in waits if u is not None)
 
-    def missing(self) -> tuple[str, ...]:
-        """Who was not shown to hold it or does not count yet, ascending."""
-        have = {s.name for s in self._schedulers.values() if s.caught_up and self._now(self._holds, s.name)}
-        return tuple(sorted(self._schedulers.keys() - have))
-
     def next_us(self) -> int | None:
         """The next time at which the clock alone may change something; None if only news can."""
         if self.step is Step.IN_FORCE:
@@ -169,25 +157,18 @@
                 ends.append(self.majority_us + max((with_slack(s.bound_us) for s in waits), default=0))
         return min(ends, default=None)
 
-    def failure(self, mono_us: int) -> CordonError | None:
-        """What a call that waits no longer is told; None if it is in force."""
+    def failure(self, mono_us: int, missing: Sequence[str] = ()) -> CordonError | None:
+        """What a call is told that waits no longer; None: in force. ``missing``: who does not hold it."""
         if self.look(mono_us) is Step.IN_FORCE:
             return None
         if self.step is Step.ACCEPTED:
             return BoundNotMet(self.what, [f"{u.name} ({u.why})" for u in self.unconfirmed(mono_us)])
-        return NotAccepted(self.what, self.missing())
-
-    def _majority(self) -> bool:
-        return 2 * len(self.missing()) < len(self._schedulers)
-
-    def _note(self, book: dict[str, int], name: str, incarnation: int) -> None:
-        if name in self._schedulers and incarnation >= book.get(name, incarnation):
-            book[name] = incarnation
+        return NotAccepted(self.what, missing)
 
-    def _now(self, book: Mapping[str, int], name: str) -> bool:
-        """Whether what a scheduler said binds its process of now; of a later one than is known, it does."""
-        said = book.get(name)
-        return said is not None and said >= self._schedulers[name].incarnation
+    def _bound(self, s: Scheduler) -> bool:
+        """Whether a scheduler's process of now, or a later one than is known here, has confirmed."""
+        said = self._confirmed.get(s.name)
+        return said is not None and said >= s.incarnation
 
     def _leased(self, s: Scheduler) -> bool:
         """Whether a scheduler stops by itself when it is behind."""
@@ -195,7 +176,7 @@
 
     def _why(self, s: Scheduler, mono_us: int) -> Unconfirmed | None:
         """Why a scheduler may still act as before; None if it can't."""
-        if s.standing is Standing.LEFT or self._now(self._confirmed, s.name):
+        if s.standing is Standing.LEFT or self._bound(s):
             return None
         if self._leased(s):
             if self.majority_us is not None and mono_us >= self.majority_us + with_slack(s.bound_us):
--- a/robinhill/cordon/value.py
+++ b/robinhill/cordon/value.py
@@ -198,22 +198,14 @@
     )
 
 
-def until_us(value: Cordons, now_us: int) -> int:
-    """How long a record of this value is to be kept when it is written now.
+def fades(value: Cordons, kept_until_us: int, now_us: int, *, mine: bool) -> bool:
+    """Whether a record must be written once more, with the same value, so that what lasts longer is kept.
 
-    Where nothing without an end stands, long enough after the last end that no old copy comes back. Where two
-    copies are merged the later of their times holds: a lift's shorter one is no word on what it has not seen.
+    ``kept_until_us`` is the record's. Who wrote it last (``mine``) does so with half of its time to go,
+    anyone else with a quarter, should that one be no more.
     """
-    ends = [e.reason.until_us for e in value.entries]
-    if 0 in ends:
-        return now_us + limits.KEEP_US
-    return min(max([now_us, *ends]) + limits.KEEP_LIFTED_US, now_us + limits.KEEP_US)
-
-
-def fades(value: Cordons, kept_until_us: int, now_us: int) -> bool:
-    """Whether a record must be written once more, with the same value, so that what has no end is kept."""
-    endless = any(not e.reason.until_us for e in value.entries)
-    return endless and kept_until_us < now_us + limits.KEEP_US // 2
+    lasts = any(e.reason.until_us == 0 or e.reason.until_us > kept_until_us for e in value.entries)
+    return lasts and kept_until_us < now_us + limits.KEEP_US // (2 if mine else 4)
 
 
 def check_target(target: str) -> str:
--- a/robinhill/cordon/views.py
+++ b/robinhill/cordon/views.py
@@ -160,10 +160,17 @@
 
 
 def answer(
-    mono_us: int, cordon_id: str, targets: Sequence[str], promise: Promise, book: Book, *, waited: bool
+    mono_us: int,
+    cordon_id: str,
+    targets: Sequence[str],
+    promise: Promise,
+    book: Book,
+    *,
+    waited: bool,
+    missing: Sequence[str] = (),
 ) -> tuple[int, Answer]:
     """Status and body for a PUT or DELETE: 200 in force, 202 not yet; 503, 504 after a wait that failed."""
-    failure = promise.failure(mono_us)
+    failure = promise.failure(mono_us, missing)
     state, unconfirmed = _told(mono_us, promise)
     warned = () if promise.lifts else tuple(w for target in targets for w in book.warnings(target))
     status = 200 if failure is None else STATUS[type(failure)] if waited else 202
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -19,6 +19,7 @@
     NotAccepted,
     TooManyCalls,
 )
+from robinhill.cordon.limits import KEEP_US
 from robinhill.cordon.promise import Mode, Promise, Promises, Scheduler, Standing, Step, with_slack
 from robinhill.cordon.value import (
     Cordons,
@@ -27,6 +28,7 @@
     cordon_kind,
     decode,
     encode,
+    fades,
     find,
     lift,
     merge,
@@ -100,6 +102,14 @@
     assert ids(merge(shorter, longer), NOW + 8 * S) == ["m1"], "of two at once the longer holds"
 
 
+def test_what_has_no_end_is_written_anew_in_time() -> None:
+    endless, short = (set_(None, why(until_us=us), Dot("a", 1, 1), NOW) for us in (0, NOW + 9 * S))
+    half, quarter = NOW + KEEP_US // 2, NOW + KEEP_US // 4
+    assert fades(endless, half - 1, NOW, mine=True) and not fades(endless, half, NOW, mine=True)
+    assert fades(endless, quarter - 1, NOW, mine=False) and not fades(endless, quarter, NOW, mine=False)
+    assert not fades(short, NOW + 9 * S, NOW, mine=True) and fades(short, NOW + 8 * S, NOW, mine=True)
+
+
 def test_what_a_call_may_not_say() -> None:
     for wrong in (why(""), why("auto-x"), why("a b"), why(text=" "), why(text="a\nb"), why(until_us=NOW)):
         with pytest.raises(CordonMalformed):
@@ -232,7 +242,7 @@
 
 
 def schedulers(mode: Mode | None = Mode.HOLD, count: int = 5) -> list[Scheduler]:
-    return [Scheduler(f"s{i}", 1, Standing.ALIVE, mode, 3 * S, True) for i in range(count)]
+    return [Scheduler(f"s{i}", 1, Standing.ALIVE, mode, 3 * S) for i in range(count)]
 
 
 def promise(mode: Mode = Mode.HOLD, **more: Any) -> Promise:
@@ -242,39 +252,50 @@
     return made
 
 
+def confirm(call: Promise, mono_us: int, *names: str, incarnation: int = 1) -> None:
+    for name in names:
+        call.confirmed(mono_us, name, incarnation)
+
+
 def test_a_call_is_accepted_by_a_majority_and_in_force_once_all_confirmed() -> None:
     call = promise()
-    call.holds(2, "s1", 1)
-    call.holds(2, "stranger", 1)
-    assert call.look(2) is Step.STORED and call.missing() == ("s2", "s3", "s4")
-    error = call.failure(3)
+    confirm(call, 2, "s0", "s1", "stranger")
+    assert call.look(2) is Step.STORED
+    error = call.failure(3, ["s2", "s3", "s4"])
     assert isinstance(error, NotAccepted) and "s2, s3, s4" in str(error)
-    call.confirmed(4, "s2", 1)
+    call.accepted(4)
     assert call.look(4) is Step.ACCEPTED
-    for name in ("s0", "s1", "s3"):
-        call.confirmed(5, name, 1)
+    confirm(call, 5, "s2", "s3")
     error = call.failure(6)
     assert isinstance(error, BoundNotMet) and "s4 (alive, its lease may last)" in str(error)
-    call.confirmed(7, "s4", 1)
+    confirm(call, 7, "s4")
     assert call.look(7) is Step.IN_FORCE and call.failure(8) is None and not call.unconfirmed(8)
+    early = promise()
+    confirm(early, 2, "s0", "s1", "s2", "s3", "s4")
+    assert early.look(3) is Step.STORED, "some may be catching up, so no majority has it for good"
+    early.accepted(4)
+    assert early.look(4) is Step.IN_FORCE
 
 
 def test_under_hold_time_since_the_majority_stands_for_who_is_cut_off() -> None:
     call = promise()
-    for name in ("s0", "s1", "s2"):
-        call.confirmed(10, name, 1)
+    confirm(call, 9, "s0", "s1", "s2")
+    call.accepted(10)
+    call.accepted(99)
     call.heard(11, Scheduler("s3", 1, Standing.GONE, Mode.HOLD, 2 * S))
     end = 10 + with_slack(3 * S)
     assert end > 3 * S + 10 and call.next_us() == end
     assert [u.name for u in call.unconfirmed(end - 1)] == ["s4"], "the lease of s3 was shorter"
     assert call.look(end - 1) is Step.ACCEPTED
     assert call.look(end) is Step.IN_FORCE
-    unheard = promise()
-    unheard.heard(1, Scheduler("s4", 1, Standing.GONE, Mode.SERVE))
-    for name in ("s0", "s1", "s2"):
-        unheard.confirmed(10, name, 1)
-    assert unheard.look(end) is Step.ACCEPTED and unheard.next_us() is None, "who serves has no lease"
-    assert [u.name for u in unheard.unconfirmed(end)] == ["s4"]
+    mixed = promise()
+    mixed.heard(1, Scheduler("s4", 1, Standing.GONE, Mode.SERVE, 3 * S))
+    mixed.heard(1, Scheduler("s3"))
+    mixed.heard(1, Scheduler("s3", 1, Standing.SUSPECT))
+    confirm(mixed, 9, "s0", "s1", "s2")
+    mixed.accepted(10)
+    assert mixed.look(end) is Step.ACCEPTED and mixed.next_us() is None, "these have no lease"
+    assert [u.name for u in mixed.unconfirmed(end)] == ["s3", "s4"]
 
 
 def test_under_serve_who_is_cut_off_is_named_whatever_time_passes() -> None:
@@ -282,11 +303,10 @@
     assert call.look(1) is Step.ACCEPTED, "as soon as it is stored"
     mixed = Promise("m1", "s0", Mode.SERVE, [*schedulers(Mode.SERVE, 2), *schedulers()[2:]])
     mixed.stored(1)
-    mixed.confirmed(2, "s0", 1)
-    mixed.confirmed(2, "s1", 1)
+    confirm(mixed, 2, "s0", "s1")
     assert mixed.look(60 * S) is Step.ACCEPTED, "no lease is over before a majority holds it"
-    for name in ("s0", "s1", "s2", "s3"):
-        call.confirmed(2, name, 1)
+    confirm(call, 2, "s0", "s1", "s2", "s3")
+    call.accepted(2)
     call.heard(3, Scheduler("s4", 1, Standing.GONE, Mode.SERVE))
     assert [(u.name, u.why) for u in call.unconfirmed(3600 * S)] == [("s4", "gone")]
     call.removed(3601 * S, "s4")
@@ -295,32 +315,24 @@
 
 def test_a_confirmer_that_crashes_confirms_anew_only_if_it_came_back() -> None:
     call = promise(Mode.SERVE)
-    call.confirmed(2, "s1", 1)
+    confirm(call, 2, "s1")
     call.heard(3, Scheduler("s1", 1, Standing.GONE, Mode.SERVE))
-    for name in ("s0", "s2", "s3"):
-        call.confirmed(4, name, 1)
+    confirm(call, 4, "s0", "s2", "s3")
     assert [u.name for u in call.unconfirmed(4)] == ["s4"]
     call.heard(5, Scheduler("s1", 2, Standing.ALIVE, Mode.SERVE))
     call.heard(5, Scheduler("s1", 1, Standing.LEFT, Mode.SERVE))  # late news of the one before
-    call.confirmed(5, "s1", 1)
+    confirm(call, 5, "s1")
     assert [u.why for u in call.unconfirmed(5)] == ["alive, started again since it confirmed", "alive"]
-    call.confirmed(6, "s1", 2)
+    confirm(call, 6, "s1", incarnation=2)
+    confirm(call, 6, "s1")
     call.heard(7, Scheduler("s4", 1, Standing.LEFT, Mode.SERVE))
     assert call.step is Step.IN_FORCE
-    lost = promise()
-    lost.holds(2, "s1", 1)
-    lost.heard(3, Scheduler("s1", 2, Standing.ALIVE, Mode.HOLD, 3 * S))
-    lost.holds(4, "s2", 1)
-    lost.confirmed(5, "s1", 2)
-    assert lost.look(5) is Step.STORED, "neither a process that is no more nor one that catches up counts"
-    lost.heard(6, Scheduler("s1", 2, Standing.ALIVE, Mode.HOLD, 3 * S, True))
-    assert lost.look(6) is Step.ACCEPTED
 
 
 def test_a_lift_waits_for_all_and_no_lease_ends_it() -> None:
     call = promise(lifts=True)
-    for name in ("s0", "s1", "s2", "s3"):
-        call.confirmed(2, name, 1)
+    call.accepted(1)
+    confirm(call, 2, "s0", "s1", "s2", "s3")
     call.heard(2, Scheduler("s5", 1, Standing.ALIVE))
     assert [u.name for u in call.unconfirmed(99 * S)] == ["s4", "s5"]
 
@@ -334,8 +346,8 @@
     assert calls.next_us() == 5 * S and calls.waited(4 * S) == ()
     assert calls.waited(5 * S) == ("a",) and calls.waited(6 * S) == ()
     for call in calls.under_way():
-        for s in schedulers():
-            call.confirmed(7 * S, s.name, 1)
+        confirm(call, 7 * S, "s0", "s1", "s2", "s3", "s4")
+        call.accepted(7 * S)
     assert calls.waited(7 * S) == ("b",) and calls.next_us() is None
     calls.follow("c", promise())
     assert calls.get("a") is None and calls.get("b") is not None
@@ -369,8 +381,8 @@
     crowd = [item(f"worker/w{i:02}", auto(f"w{i:02}")) for i in range(5)]
     book.update(NOW, [item("zone/z0", why(until_us=NOW + S), origin="s0"), *crowd], FLEET)
     calls.follow("s0/1/1", call)
-    for name in ("s1", "s2", "s3"):
-        call.confirmed(2, name, 1)
+    confirm(call, 2, "s1", "s2", "s3")
+    call.accepted(2)
     told = msgspec.json.decode(msgspec.json.encode(listing(2, book, calls)))
     zone = told["cordons"][-1]
     assert zone["id"] == "m1" and zone["until"] == "2027-01-15T08:00:01Z" and zone["workers"] == 10
