--- a/robinhill/net/operators.py
+++ b/robinhill/net/operators.py
@@ -12,9 +12,8 @@
 from robinhill.net.messages import Answer
 
 MAX_CALL = 1024  # an id, with room for blanks round it
-MAX_CORDON_CALL = 8192  # a target, a reason and who asks, in JSON
+MAX_CORDON_CALL = 4096  # a target, a reason and who asks, in JSON
 CORDONS = "/ops/cordons"
-MAX_WAIT_S = 600.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,8 +25,9 @@
     door: Callable[[], Answer]
     hold_out: Callable[[str, bool], Awaitable[Answer]]
     drain: Callable[[bool], Awaitable[Answer]]
-    # What schedulers share, where they do: method, cordon's id ("": all), body, seconds to wait if it waits.
-    cordons: Callable[[str, str, bytes, float | None], Awaitable[Answer]] | None = None
+    # Where schedulers share: a call's method, the cordon's id ("": all), body, and for how long it waits.
+    cordons: Callable[[str, str, bytes, str | None], Awaitable[Answer]] | None = None
+    mesh: Callable[[], Answer] | None = None
     vouch: Callable[[], Answer] | None = None
 
 
@@ -48,8 +48,10 @@
             "/ops/drain/start": ("PUT", lambda body: calls.drain(True)),
             "/ops/drain/stop": ("PUT", lambda body: calls.drain(False)),
         }
-        if calls.vouch:
-            self._routes["/ops/mesh/vouch"] = ("PUT", self._vouch)
+        if calls.mesh and calls.vouch:
+            mesh, vouch = calls.mesh, calls.vouch
+            self._routes["/ops/mesh"] = ("GET", lambda body: _at_once(mesh()))
+            self._routes["/ops/mesh/vouch"] = ("PUT", lambda body: _at_once(vouch()))
 
     def start(self) -> None:
         self.listener.listen(bind(self.address, "GW_OPS"))
@@ -79,7 +81,7 @@
         return response
 
     async def _cordons(
-        self, request: web.BaseRequest, call: Callable[[str, str, bytes, float | None], Awaitable[Answer]]
+        self, request: web.BaseRequest, call: Callable[[str, str, bytes, str | None], Awaitable[Answer]]
     ) -> web.StreamResponse:
         cordon_id = request.rel_url.path.removeprefix(CORDONS).removeprefix("/")
         methods = ("GET", "PUT", "DELETE") if cordon_id else ("GET",)
@@ -89,14 +91,11 @@
             return response
         body = await request.read()
         connection_of(request).claim(useful=True)
-        answer = await call(request.method, cordon_id, body, _wait_s(request.rel_url.query.get("wait")))
+        answer = await call(request.method, cordon_id, body, request.rel_url.query.get("wait"))
         response = web.Response(status=answer.status, body=answer.body, content_type="application/json")
         response.force_close()
         return response
 
-    async def _vouch(self, body: bytes) -> Answer:
-        return self.calls.vouch() if self.calls.vouch else Answer(404, b"schedulers share nothing\n")
-
     async def _readiness(self, body: bytes) -> Answer:
         return self.calls.readiness()
 
@@ -110,14 +109,5 @@
         return await self.calls.hold_out(messages.read_instance_id(body), out)
 
 
-def _wait_s(text: str | None) -> float | None:
-    """Seconds, at most ten minutes."""
-    if text is None:
-        return None
-    try:
-        wait_s = float(text.removesuffix("s"))
-    except ValueError:
-        wait_s = -1.0
-    if not 0 <= wait_s <= MAX_WAIT_S:
-        raise messages.MalformedError(f"wait must be seconds, 0 to {MAX_WAIT_S:g}")
-    return wait_s
+async def _at_once(answer: Answer) -> Answer:
+    return answer
--- a/robinhill/net/peers.py
+++ b/robinhill/net/peers.py
@@ -42,15 +42,18 @@
 
 
 class Hearer(Protocol):
-    """Who owns the replica. All three are called at once, not told: what has come must be acted on before an
-    answer behind it lends a lease."""
+    """Who owns the replica. It is called at once, not told: what has come must be acted on before an answer
+    behind it lends a lease. ``told_us``: the peer's Unix time as it greeted.
+    """
 
     def learned(self, learned: Learned) -> None: ...
 
-    def greeted(self, name: str, incarnation: int, clock_ahead_us: int) -> None: ...
+    def greeted(self, name: str, incarnation: int, told_us: int) -> None: ...
 
     def answered(self, name: str, answered: Answered) -> None: ...
 
+    def lost(self, name: str) -> None: ...
+
 
 @dataclass(slots=True, frozen=True)
 class Heard:
@@ -249,8 +252,7 @@
         match event:
             case Greeted(hello=hello):
                 if self._seat(link):
-                    ahead_us = hello.now_us - self.clock.now_us()
-                    self.hearer.greeted(hello.name, hello.incarnation, ahead_us)
+                    self.hearer.greeted(hello.name, hello.incarnation, hello.now_us)
             case Learned():
                 self.hearer.learned(event)
             case Answered():
@@ -307,6 +309,7 @@
             return
         del self.links[link.name]
         self.counts["lost"] += 1
+        self.hearer.lost(link.name)
         log.warning("peer_lost", extra={"peer": link.name, "why": why, "links": len(self.links)})
         self._dial_missing()
 
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -98,6 +98,7 @@
                 self.hold_out,
                 self.set_drained,
                 self.sharing.call if self.sharing else None,
+                self.sharing.status if self.sharing else None,
                 self.sharing.vouch if self.sharing else None,
             )
             self.operators = Operators(config.ops, config.ops_sockets - 1, self.supervisor, calls)
--- a/robinhill/net/sharing.py
+++ b/robinhill/net/sharing.py
@@ -6,21 +6,25 @@
 import asyncio
 import logging
 import random
+import time
 from collections.abc import Iterable
-from dataclasses import replace
 from typing import Any
 
+import msgspec
+
 from robinhill.config import Address, Config, ConfigError
 from robinhill.cordon.value import cordon_kind
-from robinhill.mesh.clocks import LONGEST_LIFETIME_US
+from robinhill.mesh.clocks import agreed_offset_us, next_incarnation
 from robinhill.mesh.freshness import Freshness
 from robinhill.mesh.kinds import DRAIN, SEEN, requests
 from robinhill.mesh.notices import notice_kind
 from robinhill.mesh.options import MeshOptions
 from robinhill.mesh.replica import Replica
-from robinhill.mesh.session import Identity
-from robinhill.mesh.words import Kind
+from robinhill.mesh.rest import Owner
+from robinhill.mesh.session import Answered, Identity, Learned
+from robinhill.mesh.words import Kind, MeshError
 from robinhill.net.actor import Supervisor
+from robinhill.net.atrest import AtRest
 from robinhill.net.clock import Clock
 from robinhill.net.cordons import Call, Cordons, ListChanged
 from robinhill.net.decider import Decider
@@ -34,6 +38,22 @@
 COLLECT_S = 1.0  # what is over leaves memory within a second or so
 LONGEST_WINDOW_US = 600_000_000  # in which a client repeats a keyed request
 LEAVE_S = 0.1  # for our last word to reach partners
+CLOCKS_DIFFER_US = 2_000_000  # more is told of: ends of cordons would come late or early
+RENEW_S = 60.0  # two processes by one name must not outdo each other for ever
+
+
+class AgreedClock(Clock):
+    """Unix time as most schedulers have it: a host whose clock is set wrong goes by the others'."""
+
+    def __init__(self, own: Clock) -> None:
+        self.own = own
+        self.offset_us = 0
+        self._last_us = 0
+
+    def now_us(self) -> int:
+        # It may stand still when the offset changes, but not step back.
+        self._last_us = max(self._last_us, self.own.now_us() + self.offset_us)
+        return self._last_us
 
 
 class Sharing:
@@ -43,43 +63,69 @@
         self, config: Config, supervisor: Supervisor, clock: Clock, decider: Decider, inbound: Inbound
     ) -> None:
         assert config.operator
-        options = config.operator.mesh
-        self.options = options
-        self.clock = clock
-        self.supervisor = supervisor
-        self.inbound = inbound
+        self.options = options = config.operator.mesh
+        self.supervisor, self.inbound = supervisor, inbound
+        self.clock = AgreedClock(clock)
         self.name = options.name or config.name
         names = _names(options, self.name)
-        self.incarnation = clock.now_us()
-        self.replica = Replica(self.name, self.incarnation, _kinds())
+        listen = _listen(options, self.name)
+        folder = config.folder if options.folder else None
+        self.rest = AtRest(folder, options.installation, self.name)
+        owner, records = self.rest.load()
+        incarnation = next_incarnation(clock.now_us(), owner.incarnation if owner else 0)
+        self.replica = Replica(self.name, incarnation, _kinds())
+        self._recall(owner, records)
         self.freshness = Freshness(self.name, names, options.bound_ms * 1000)
         self.cordons = Cordons(
-            options, self.name, names, self.incarnation, self.replica, self.freshness, supervisor, clock,
-            decider.tell, decider.listed,
+            options, self.name, names, self.replica, self.freshness, supervisor, self.clock, decider.tell,
+            decider.listed,
         )  # fmt: skip
         # Decisions never draw from this: it spreads dialling in time.
-        rng = random.Random(f"{self.name} {self.incarnation}")
+        rng = random.Random(f"{self.name} {incarnation}")
+        configured = self._configured(options)
         self.peers = Peers(
-            _listen(options, self.name), self._configured(options), supervisor, clock, self.replica,
-            self.freshness, self.cordons, rng,
-        )  # fmt: skip
+            listen, configured, supervisor, self.clock, self.replica, self.freshness, self, rng
+        )
+        self._offsets: dict[str, int] = {}  # of others' clocks, against our own
+        self._renewed_s = -RENEW_S
         self.cordons.changed = self.peers.wake
         self.cordons.on_serving = self._serve
+        self.cordons.outdated = self._outdated
         inbound.behind = True
         decider.may_send = self.cordons.may_send
         if options.on_lost == "hold":
             decider.lease = self.cordons.lease
         decider.list_changed = lambda: self.cordons.tell(ListChanged())
-        log.info(
-            "sharing",
-            extra={"as": self.name, "installation": options.installation, "schedulers": len(names),
-                   "bound_ms": options.bound_ms, "on_lost": options.on_lost},
-        )  # fmt: skip
+        extra = {"as": self.name, "installation": options.installation, "schedulers": len(names)}
+        log.info("sharing", extra=extra | {"bound_ms": options.bound_ms, "on_lost": options.on_lost})
+
+    def _recall(self, owner: Owner | None, records: list[Any]) -> None:
+        """Take what the last process left, unless it may have been forgotten by all others since."""
+        if owner is None:
+            return
+        now_us = self.clock.now_us()
+        for record in records:
+            try:
+                self.replica.take(now_us, record)
+            except MeshError as e:
+                log.warning("record_declined", extra={"kind": record.kind, "key": record.key, "why": str(e)})
+        away_us = max(0, now_us - owner.saved_us)
+        if self.replica.stale(now_us, away_us):
+            self.replica.clear(away_us)
+        log.info("recalled", extra={"records": len(records), "age_s": away_us / 1e6})
 
     def start(self) -> None:
         self.cordons.start()
         self.peers.start()
         self.supervisor.spawn(self._collect(), "collect")
+        self.supervisor.spawn(self.rest.keep(lambda: self.replica.head, self._owner, self._lasting), "keep")
+
+    def _owner(self) -> Owner:
+        incarnation = self.replica.clock.incarnation
+        return Owner(self.options.installation, self.name, incarnation, self.clock.now_us())
+
+    def _lasting(self) -> Iterable[Any]:
+        return self.replica.snapshot(lasting=True)
 
     async def _collect(self) -> None:
         while True:
@@ -89,12 +135,55 @@
     def _serve(self) -> None:
         self.inbound.behind = False
 
-    async def call(self, method: str, cordon_id: str, body: bytes, wait_s: float | None) -> Answer:
+    # From peers, for all who have to know
+
+    def learned(self, learned: Learned) -> None:
+        self.cordons.learned(learned)
+
+    def greeted(self, name: str, incarnation: int, told_us: int) -> None:
+        offset_us = told_us - self.clock.own.now_us()
+        self._offsets[name] = offset_us
+        if abs(offset_us) > CLOCKS_DIFFER_US:
+            log.warning("clocks_differ", extra={"peer": name, "ahead_s": offset_us / 1e6})
+        agreed_us = agreed_offset_us(self._offsets[n] for n in sorted(self._offsets))
+        if agreed_us != self.clock.offset_us:
+            self.clock.offset_us = agreed_us
+            log.warning("clock_corrected", extra={"by_s": agreed_us / 1e6})
+        self.cordons.greeted(name, incarnation)
+
+    def answered(self, name: str, answered: Answered) -> None:
+        self.cordons.answered(name, answered)
+
+    def lost(self, name: str) -> None:
+        self.cordons.lost(name)
+
+    def _outdated(self, incarnation: int) -> None:
+        """Peers know a later start of our name: this host's clock was set back, or the name is used twice."""
+        if time.monotonic() - self._renewed_s < RENEW_S:
+            log.error("name_used_twice", extra={"as": self.name, "incarnation": incarnation})
+            return
+        self._renewed_s = time.monotonic()
+        log.warning("later_start_known", extra={"as": self.name, "incarnation": incarnation})
+        self.cordons.renew(incarnation + 1)
+        self.peers.tell(self._configured(self.options))
+
+    # Operators
+
+    async def call(self, method: str, cordon_id: str, body: bytes, wait: str | None) -> Answer:
         """An operator's call about cordons."""
         reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
-        self.cordons.tell(Call(method, cordon_id, body, wait_s, reply))
+        self.cordons.tell(Call(method, cordon_id, body, wait, reply))
         return await reply
 
+    def status(self) -> Answer:
+        """How this scheduler and its copy stand."""
+        told = self.cordons.status() | {
+            "links": sorted(self.peers.links),
+            "refused": self.peers.refusals,
+            "clock_corrected_ms": self.clock.offset_us / 1000,
+        }
+        return Answer(200, msgspec.json.encode({k: v for k, v in told.items() if v is not None}) + b"\n")
+
     def vouch(self) -> Answer:
         """An operator says that nothing is in force that this scheduler does not know."""
         self.cordons.vouch("an operator said so")
@@ -107,36 +196,39 @@
 
     def reconfigure(self, options: MeshOptions) -> None:
         """Go by other peers from now on. What else has changed waits for a restart."""
-        if (options.installation, options.name or self.name, options.bound_ms, options.on_lost) != (
-            self.options.installation, self.name, self.options.bound_ms, self.options.on_lost,
-        ) or _listen(options, self.name) != self.peers.listen:  # fmt: skip
-            log.warning("reload_needs_restart", extra={"keys": "mesh"})
+        fixed = ("installation", "name", "listen", "bound_ms", "on_lost", "folder")
+        waiting = [key for key in fixed if getattr(options, key) != getattr(self.options, key)]
+        if waiting or _listen(options, self.name) != self.peers.listen:
+            log.warning("reload_needs_restart", extra={"keys": ",".join(f"mesh.{k}" for k in waiting)})
             return
         names = _names(options, self.name)
-        self.freshness.reconfigure(names)
+        try:
+            self.freshness.reconfigure(names)
+        except MeshError as e:
+            log.error("reload_failed", extra={"key": "mesh.peers", "why": str(e)})
+            return
+        self.options = options
+        self._offsets = {name: us for name, us in self._offsets.items() if name in names}
         self.cordons.reconfigure(options, names)
         self.peers.tell(self._configured(options))
-        self.options = options
         log.info("peers_reconfigured", extra={"schedulers": len(names)})
 
     def _configured(self, options: MeshOptions) -> Configure:
         names = _names(options, self.name)
-        identity = Identity(options.installation, self.name, self.incarnation, names)
+        identity = Identity(options.installation, self.name, self.replica.clock.incarnation, names)
         others = options.others(self.name)
-        partners = sorted(others)
-        return Configure(identity, others, partners, options.partners, options.interval_us)
+        return Configure(identity, others, sorted(others), options.partners, options.interval_us)
 
     async def close(self) -> None:
         self.cordons.leave()
+        await self.rest.save(self.replica.head, self._owner(), list(self._lasting()))
         await asyncio.sleep(LEAVE_S)
         self.cordons.stop()
         await self.peers.close()
 
 
 def _kinds() -> Iterable[Kind[Any]]:
-    cordons = cordon_kind()
-    cordons = replace(cordons, lifetime_us=min(cordons.lifetime_us, LONGEST_LIFETIME_US))
-    return (cordons, notice_kind(), DRAIN, SEEN, requests(LONGEST_WINDOW_US))
+    return (cordon_kind(), notice_kind(), DRAIN, SEEN, requests(LONGEST_WINDOW_US))
 
 
 def _names(options: MeshOptions, own: str) -> tuple[str, ...]:
