--- /dev/null
+++ b/tests/test_standin_relay.py
@@ -0,0 +1,180 @@
+"""The relay does to a link what it is told, to whole messages, and nothing else."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from robinhill.standin.relay import Harm, Messages, Relay, Unit, Way
+
+Socket = aiohttp.ClientWebSocketResponse
+
+
+@asynccontextmanager
+async def link(seed: str = "s", unit: Unit = Unit.MESSAGE) -> AsyncIterator[tuple[Relay, Callable[[], Awaitable[Socket]]]]:
+    """An echo behind a relay, and what dials it."""
+
+    async def echo(request: web.BaseRequest) -> web.StreamResponse:
+        ws = web.WebSocketResponse(autoping=False)
+        await ws.prepare(request)
+        async for message in ws:
+            await ws.send_bytes(message.data)
+        return ws
+
+    runner = web.ServerRunner(web.Server(echo), shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    relay = Relay("{}:{}".format(*runner.addresses[0]), seed, unit)
+    await relay.start()
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=10)) as session:
+        yield relay, lambda: session.ws_connect(f"http://{relay.address}/", autoping=False)
+        await relay.stop()
+    await runner.cleanup()
+
+
+async def echoed(ws: Socket, number: int, size: int = 10) -> list[int]:
+    """Send numbered messages and a last one; the numbers that came back before that one did."""
+    for i in range(number):
+        await ws.send_bytes(bytes([i]) * size)
+    await ws.send_bytes(b"\xff")
+    back: list[int] = []
+    while (data := await ws.receive_bytes(timeout=10)) != b"\xff":
+        assert data in (data[:1] * size,), "a message came in part"
+        back.append(data[0])
+    return back
+
+
+def test_messages_are_split_at_their_bounds_however_they_are_read() -> None:
+    head = b"GET / HTTP/1.1\r\nUpgrade: websocket\r\n\r\n"
+    masked = b"\x82\x83mask" + b"abc"
+    long = b"\x82\x7e\x01\x00" + b"x" * 256
+    first, ping, rest = b"\x02\x01a", b"\x89\x00", b"\x80\x01b"  # a message in two, a ping between
+    stream = head + masked + long + first + ping + rest
+    whole = [head, masked, long, ping, first + rest]
+    assert Messages().feed(stream) == whole
+    one_by_one = Messages()
+    assert [m for i in range(len(stream)) for m in one_by_one.feed(stream[i : i + 1])] == whole
+    plain = Messages()
+    assert plain.feed(b"HTTP/1.1 403 No\r\n\r\nno") + plain.feed(b"pe") == [
+        b"HTTP/1.1 403 No\r\n\r\n", b"no", b"pe"
+    ]  # fmt: skip
+    with pytest.raises(ValueError, match="too long"):
+        Messages().feed(head + b"\x82\x7f" + b"\x7f" * 8)
+
+
+@pytest.mark.parametrize("size", [10, 70_000])
+def test_what_is_lost_or_doubled_is_whole_and_drawn_from_the_seed(size: int) -> None:
+    async def play(seed: str) -> list[int]:
+        async with link(seed) as (relay, dial):
+            ws = await dial()
+            relay.suffer(Harm(loss=0.3, double=0.2), Way.THERE)
+            for i in range(60):
+                await ws.send_bytes(bytes([i]) * size)
+            while relay.passed[Way.THERE].whole + relay.passed[Way.THERE].lost < 60:
+                await asyncio.sleep(0)
+            relay.heal()
+            back = await echoed(ws, 0, size)
+            await ws.close()
+            return back
+
+    async def thrice() -> tuple[list[int], ...]:
+        return await play("a"), await play("a"), await play("b")
+
+    one, again, other = asyncio.run(thrice())
+    assert one == again != other and one == sorted(one)
+    assert 25 < len(set(one)) < 60 < len(one) + 60 - len(set(one)), "some lost, some doubled"
+
+
+def test_messages_overtake_each_other_or_are_late_in_order() -> None:
+    async def play() -> None:
+        async with link() as (relay, dial):
+            ws = await dial()
+            relay.suffer(Harm(jitter_s=0.02), Way.THERE)
+            assert await echoed(ws, 30) == list(range(30))
+            relay.suffer(Harm(reorder=1.0, reorder_s=0.05), Way.THERE)
+            for i in range(30):
+                await ws.send_bytes(bytes([i]))
+            mixed = [(await ws.receive_bytes())[0] for _ in range(30)]
+            assert sorted(mixed) == list(range(30)) != mixed
+            loop = asyncio.get_running_loop()
+            relay.suffer(Harm(delay_s=0.1))
+            begun = loop.time()
+            assert await echoed(ws, 1) == [0] and loop.time() - begun >= 0.2
+            await ws.close()
+
+    asyncio.run(play())
+
+
+def test_a_stalled_way_delivers_all_of_it_late_and_the_other_way_goes_on() -> None:
+    async def play() -> None:
+        async with link() as (relay, dial):
+            ws = await dial()
+            relay.suffer(Harm(stalled=True), Way.BACK)
+            for i in range(5):
+                await ws.send_bytes(bytes([i]))
+            while relay.passed[Way.THERE].whole < 6:  # the handshake is one
+                await asyncio.sleep(0)
+            with pytest.raises(TimeoutError):
+                await ws.receive_bytes(timeout=0.05)
+            relay.heal()
+            assert [(await ws.receive_bytes())[0] for _ in range(5)] == [0, 1, 2, 3, 4]
+            await ws.close()
+
+    asyncio.run(play())
+
+
+def test_a_torn_message_comes_in_part_and_ends_the_link() -> None:
+    async def play() -> None:
+        async with link() as (relay, dial):
+            ws = await dial()
+            relay.suffer(Harm(torn_after=100), Way.BACK)
+            await ws.send_bytes(b"x" * 1000)
+            assert (await ws.receive(timeout=10)).type is not aiohttp.WSMsgType.BINARY
+            assert relay.passed[Way.BACK].torn == 1
+            assert await echoed(await dial(), 3) == [0, 1, 2], "the next one is whole again"
+
+    asyncio.run(play())
+
+
+def test_half_open_refused_and_flapping_links_and_their_healing() -> None:
+    async def play() -> None:
+        async with link() as (relay, dial):
+            old = await dial()
+            relay.fall_silent()
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.05):
+                    await dial()
+            assert not old.closed
+            relay.heal()
+            assert await echoed(await dial(), 2) == [0, 1]
+            relay.refuse()
+            with pytest.raises(aiohttp.ClientError):
+                await dial()
+            relay.heal()
+            relay.flap(0.02, 0.02)
+            ups = 0
+            while ups < 2:
+                try:
+                    ws = await dial()
+                    await ws.receive(timeout=10)  # until it goes down again
+                    ups += 1
+                except (aiohttp.ClientError, OSError):
+                    pass
+            relay.heal()
+            assert await echoed(await dial(), 2) == [0, 1]
+
+    asyncio.run(play())
+
+
+def test_bytes_without_messages_pass_too() -> None:
+    async def play() -> None:
+        async with link(unit=Unit.BYTES) as (relay, dial):
+            ws = await dial()
+            assert await echoed(ws, 3) == [0, 1, 2]
+            relay.sever()
+            assert (await ws.receive(timeout=10)).type is not aiohttp.WSMsgType.BINARY
+
+    asyncio.run(play())
