--- a/robinhill/model/workers.py
+++ b/robinhill/model/workers.py
@@ -37,6 +37,7 @@
     left_us: float = 0.0
     fails: bool = False  # it ends in an error
     quiet: bool = False  # called off: nobody is told
+    scheduler: str = ""  # that sent it, by name
 
 
 @dataclass(slots=True, eq=False)
@@ -254,7 +255,8 @@
             self.vanish()
 
     def _note(self, what: What, job: Job) -> None:
-        self._emit(Event(self.engine.now / 1e6, what, job.request, self.name, kind=job.kind))
+        at = self.engine.now / 1e6
+        self._emit(Event(at, what, job.request, self.name, kind=job.kind, scheduler=job.scheduler))
 
     def _emit(self, event: Event) -> None:
         self.journal.add(event)
--- a/robinhill/standin/discovery.py
+++ b/robinhill/standin/discovery.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from types import MappingProxyType
+from typing import Any, Protocol
 
 import orjson
 from aiohttp import web
@@ -17,6 +18,26 @@
 EMPTY_EVERY_S = 2.0
 
 
+class Listed(Protocol):
+    """A list of workers at an address."""
+
+    @property
+    def address(self) -> str: ...
+    def known(self) -> Json: ...
+
+
+@dataclass(slots=True, eq=False)
+class View:
+    """The list as one of several schedulers gets it: workers are at addresses of its own."""
+
+    discovery: "Discovery"
+    host_ports: dict[str, str]
+    address: str = ""
+
+    def known(self) -> Json:
+        return self.discovery.known(self.host_ports)
+
+
 @dataclass(slots=True, eq=False)
 class Discovery:
     """Speaks PROTOCOL's discovery for a set of stand-in workers. Changes are told at once."""
@@ -27,32 +48,41 @@
     address: str = ""
     entries: dict[str, Json] = field(default_factory=dict)
     _versions: dict[str, int] = field(default_factory=dict)  # when an entry changed last
-    _watches: set[asyncio.Queue[bytes | None]] = field(default_factory=set)
-    _runner: web.ServerRunner | None = None
+    # Each with the addresses that workers have in its view
+    _watches: dict[asyncio.Queue[bytes | None], dict[str, str]] = field(default_factory=dict)
+    _runners: list[web.ServerRunner] = field(default_factory=list)
 
     async def start(self) -> None:
         for worker in self.workers:
             self._put(worker, "active")
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None), shutdown_timeout=0.1)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, LOOPBACK, 0)
-        await site.start()
-        assert self._runner.addresses
-        self.address = "{}:{}".format(*self._runner.addresses[0])
+        self.address = await self._listen({})
+
+    async def view(self, host_ports: dict[str, str]) -> View:
+        """Another address, where workers are listed at these (by name)."""
+        return View(self, host_ports, await self._listen(host_ports))
+
+    async def _listen(self, host_ports: dict[str, str]) -> str:
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            return await self._handle(request, host_ports)
+
+        runner = web.ServerRunner(web.Server(handle, access_log=None), shutdown_timeout=0.1)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, LOOPBACK, 0).start()
+        return "{}:{}".format(*runner.addresses[0])
 
     async def stop(self) -> None:
         for watch in self._watches:
             watch.put_nowait(None)
-        if self._runner:
-            await self._runner.cleanup()
+        for runner in self._runners:
+            await runner.cleanup()
 
     def tell(self, worker: Worker, lifecycle: str = "active") -> None:
         """A worker's entry has changed: it has started, leaves, or has left."""
         self.generation += 1
         self._put(worker, lifecycle)
-        line = self._list([worker.name], reset=False)
-        for watch in self._watches:
-            watch.put_nowait(line)
+        for watch, host_ports in self._watches.items():
+            watch.put_nowait(self._list([worker.name], host_ports))
         if lifecycle != "active" and self._watches:
             self.journal.note(What.LEAVING, worker=worker.name)
 
@@ -63,31 +93,34 @@
             "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": worker.started_unix_ms,
         }  # fmt: skip
 
-    def known(self) -> Json:
+    def known(self, host_ports: Mapping[str, str] = MappingProxyType({})) -> Json:
         """The whole list, as a scheduler's configuration holds it."""
-        listed = [e for e in self.entries.values() if e["lifecycle"] != "left"]
-        return {"generation": self.generation, "reset": True, "instances": listed}
+        listed = [n for n, e in self.entries.items() if e["lifecycle"] != "left"]
+        return {"generation": self.generation, "reset": True, "instances": self._seen(listed, host_ports)}
+
+    def _seen(self, names: Iterable[str], host_ports: Mapping[str, str]) -> list[Json]:
+        return [e | {"hostPort": host_ports.get(n, e["hostPort"])} for n in names for e in (self.entries[n],)]
 
-    def _list(self, names: Iterable[str], *, reset: bool) -> bytes:
-        told = {"generation": self.generation, "reset": reset, "instances": [self.entries[n] for n in names]}
+    def _list(self, names: Iterable[str], host_ports: Mapping[str, str]) -> bytes:
+        told = {"generation": self.generation, "reset": False, "instances": self._seen(names, host_ports)}
         return orjson.dumps(told) + b"\n"
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle(self, request: web.BaseRequest, host_ports: dict[str, str]) -> web.StreamResponse:
         if request.path != "/v1/endpoints":
             return web.Response(status=404)
         if "watch" not in request.query:
-            return web.Response(body=orjson.dumps(self.known()))
+            return web.Response(body=orjson.dumps(self.known(host_ports)))
         response = web.StreamResponse()
         response.enable_chunked_encoding()
         await response.prepare(request)
         after = request.query.get("after")
         if after is None or int(after) > self.generation:
-            first = orjson.dumps(self.known()) + b"\n"
+            first = orjson.dumps(self.known(host_ports)) + b"\n"
         else:
             changed = [n for n, version in self._versions.items() if version > int(after)]
-            first = self._list(changed, reset=False) if changed else b"\n"
+            first = self._list(changed, host_ports) if changed else b"\n"
         watch: asyncio.Queue[bytes | None] = asyncio.Queue()
-        self._watches.add(watch)
+        self._watches[watch] = host_ports
         line: bytes | None = first
         try:
             while line is not None:
@@ -99,5 +132,5 @@
         except ConnectionError:
             pass  # the scheduler has left
         finally:
-            self._watches.discard(watch)
+            del self._watches[watch]
         return response
--- a/robinhill/standin/program.py
+++ b/robinhill/standin/program.py
@@ -15,7 +15,7 @@
 
 import aiohttp
 
-from robinhill.standin.discovery import Discovery
+from robinhill.standin.discovery import Discovery, Listed
 from robinhill.standin.site import Site, free_address
 from robinhill.standin.worker import Worker
 from robinhill.witness.journal import Journal
@@ -32,14 +32,17 @@
 
     folder: Path
     site: Site
-    discovery: Discovery
+    discovery: Listed
     operator: Json | None = None
+    name: str = "n1"
+    place: int = 0  # among the site's schedulers
     listen: str = field(default_factory=free_address)
     ops: str = field(default_factory=free_address)
     process: asyncio.subprocess.Process | None = None
     env: dict[str, str] = field(default_factory=dict)
     pass_fds: tuple[int, ...] = ()
     number: int = 0
+    state: Path | None = None  # what it gets as $TMPDIR, if not the folder of its configuration
 
     @property
     def pid(self) -> int:
@@ -53,8 +56,9 @@
     def write(self) -> None:
         """Its configuration files, as they are to be now."""
         config = {
-            "name": "n1", "listen": self.listen, "discovery": self.discovery.address, "seed": "7",
-            "known": self.discovery.known(), "settings": self.site.settings(), "limits": {"sockets": 4096},
+            "name": self.name, "listen": self.listen, "discovery": self.discovery.address, "seed": "7",
+            "known": self.discovery.known(), "settings": self.site.settings(self.place),
+            "limits": {"sockets": 4096},
         }  # fmt: skip
         (self.folder / "config.json").write_text(json.dumps(config))
         if self.operator is not None:
@@ -63,7 +67,7 @@
     async def start(self) -> None:
         self.write()
         env = os.environ | {"GW_CONFIG": str(self.folder / "config.json"), "GW_OPS": self.ops}
-        env |= {"TMPDIR": str(self.folder)} | self.env
+        env |= {"TMPDIR": str(self.state or self.folder)} | self.env
         if self.operator is not None:
             env["GW_OPERATOR"] = str(self.folder / "operator.json")
         with self.log.open("wb") as log:
--- a/robinhill/standin/relay.py
+++ b/robinhill/standin/relay.py
@@ -1,4 +1,4 @@
-"""A relay on loopback for one directed link between two schedulers: who dials it reaches the other through it.
+"""A relay on loopback for one directed link between two schedulers: who dials it gets through to the other.
 
 What it does to the link can be changed while it runs. The unit of harm is a whole websocket message, or in
 ``Unit.BYTES`` whatever was read at once. Times are seconds. All chances are drawn from the seed that it is
@@ -305,7 +305,7 @@
         self.suffer(Harm(stalled=True))
 
     def flap(self, up_s: float, down_s: float) -> None:
-        """Down at once, then up and down in turns until it is healed; each time is half to all of what is given."""
+        """Down at once, then up and down in turns until it is healed; each time half to all of the given."""
         self.refuse()
         self._again(down_s, up_s, down_s)
 
@@ -322,7 +322,7 @@
         self._flaps = asyncio.get_running_loop().call_later(wait_s, turn)
 
     def heal(self) -> None:
-        """Nothing goes wrong from now on. What was accepted half-open is reset: its handshake has no answer."""
+        """Nothing goes wrong from now on. What was accepted half-open is reset: it had no answer."""
         if self._flaps:
             self._flaps.cancel()
             self._flaps = None
--- /dev/null
+++ b/robinhill/standin/rig.py
@@ -0,0 +1,457 @@
+"""Several real processes of the program on loopback, each link between them through a relay, faults on all.
+
+    python -m robinhill.standin.rig --seed 7 --processes 5
+
+draws the schedule of that seed, prints it, plays it and says which rules were broken; with `--shrink` it cuts
+a failing one down. Workers, discovery and clients are the stand-ins; each scheduler has an address of its own
+at each worker, so that call-backs find their way.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import shutil
+import signal
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Callable, Iterable, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from itertools import count, permutations
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import orjson
+
+from robinhill.standin.client import Clients, Tenant
+from robinhill.standin.discovery import Discovery
+from robinhill.standin.program import Program
+from robinhill.standin.relay import NO_HARM, Harm, Relay, Way
+from robinhill.standin.schedule import KILLS, Call, Fault, Schedule, Trouble, draw, names_of, shrink
+from robinhill.standin.site import JobKind, Site, free_address
+from robinhill.standin.worker import Worker
+from robinhill.witness.journal import Event, Journal, What
+from robinhill.witness.mesh import Terms, broken, equal_after
+
+Json = dict[str, Any]
+WORKERS = 6
+LOAD = 160.0  # requests a second over all schedulers: a worker has some of each scheduler within a bound
+BOUND_MS = 1000
+CALL_S = 5.0  # that an operator's call is waited for
+LOOK_S = 0.02  # between two looks at the digests
+FORM_S = 20.0  # for the links to come up at the start
+EQUAL_S = 2.0
+SPARE_S = 4.0  # that copies are looked at past the time in which they have to be equal
+# Short jobs: a send must be able to come at any moment, and the end of a run be near.
+KINDS = (
+    JobKind("member-lookup", 20, 60, 2.5, 1_000, share=0.5),
+    JobKind("season-report", 60, 200, 2.0, 2_000, share=0.3),
+    JobKind("renewal-charge", 40, 100, 2.5, 2_000, worth=8.0, repeat="fragile", share=0.2),
+)
+UNSAFE = tuple(k.name for k in KINDS if k.repeat == "fragile")
+
+
+class Watched(Journal):
+    """A journal that can be waited on."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._more = asyncio.Event()
+
+    def add(self, event: Event) -> None:
+        super().add(event)
+        self._more.set()
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Until it holds; looked at after each event."""
+        while not holds():
+            self._more.clear()
+            await self._more.wait()
+
+
+@dataclass(slots=True)
+class Lateness:
+    """How late this process itself ran at worst: what it notes can be late by as much."""
+
+    worst_s: float = 0.0
+    _task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._look())
+
+    async def _look(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + 0.005
+            await asyncio.sleep(0.005)
+            self.worst_s = max(self.worst_s, loop.time() - due)
+
+    def stop(self) -> None:
+        if self._task:
+            self._task.cancel()
+
+
+@dataclass(slots=True, eq=False)
+class Rig:
+    """Schedulers, their links, and what they serve. Made by ``rig``."""
+
+    names: tuple[str, ...]
+    journal: Watched
+    workers: dict[str, Worker]
+    discovery: Discovery
+    programs: dict[str, Program]
+    relays: dict[tuple[str, str], Relay]  # by who dials, and whom
+    clients: Clients
+    session: aiohttp.ClientSession
+    lateness: Lateness
+    _turns: count[int] = field(default_factory=count)
+
+    # Links
+
+    def harm(self, harm: Harm, start: str, end: str) -> None:
+        """From now on this befalls what one scheduler tells another, whoever dialled."""
+        self.relays[start, end].suffer(harm, Way.THERE)
+        self.relays[end, start].suffer(harm, Way.BACK)
+
+    def links(self, fault: Fault) -> list[Relay]:
+        """Both relays of each link that a fault strikes."""
+        if fault.trouble is Trouble.PARTITION:
+            ends = [(a, b) for a in fault.who for b in self.names if b not in fault.who]
+        else:
+            ends = [(fault.who[0], fault.who[1])]
+        return [self.relays[pair] for a, b in ends for pair in ((a, b), (b, a))]
+
+    # Operators
+
+    async def ask(self, name: str, method: str, path: str, body: Json | None = None) -> tuple[int, Json]:
+        """A call at a scheduler's operators' side; status 0 where no answer came."""
+        url = f"http://{self.programs[name].ops}{path}"
+        timeout = aiohttp.ClientTimeout(total=CALL_S)
+        data = orjson.dumps(body) if body is not None else None
+        try:
+            async with self.session.request(method, url, data=data, timeout=timeout) as answer:
+                text = await answer.read()
+                with contextlib.suppress(orjson.JSONDecodeError):
+                    if isinstance(told := orjson.loads(text), dict):
+                        return answer.status, told
+                return answer.status, {}
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return 0, {}
+
+    async def cordon(self, name: str, worker: str, id_: str, wait_ms: int = 0) -> Json:
+        """Set a cordon, and what was answered."""
+        self.journal.note(What.CORDON_ASKED, id_, worker, scheduler=name)
+        body = {"target": f"worker/{worker}", "reason": "a trial"}
+        status, told = await self.ask(name, "PUT", f"/ops/cordons/{id_}?wait={wait_ms}", body)
+        if status in (200, 202) and told.get("accepted"):
+            self.journal.note(What.CORDONED, id_, worker, status, scheduler=name)
+        if status == 200 and told.get("in_force"):
+            self.journal.note(What.IN_FORCE, id_, worker, status, scheduler=name)
+        return told
+
+    async def lift(self, name: str, worker: str, id_: str, wait_ms: int = 0) -> Json:
+        self.journal.note(What.LIFT_ASKED, id_, worker, scheduler=name)
+        status, told = await self.ask(name, "DELETE", f"/ops/cordons/{id_}?wait={wait_ms}")
+        if status in (200, 202) and told.get("accepted"):
+            self.journal.note(What.LIFTED, id_, worker, status, scheduler=name)
+        return told
+
+    async def digest(self, name: str) -> str | None:
+        """What a scheduler tells of its copy; None where it does not, or has not caught up."""
+        status, told = await self.ask(name, "GET", "/ops/mesh")
+        return str(told["digest"]) if status == 200 and "digest" in told else None
+
+    async def digests(self) -> None:
+        """One look at all of them, into the journal."""
+
+        async def look(name: str) -> None:
+            if (digest := await self.digest(name)) is not None:
+                self.journal.note(What.DIGEST, kind=digest, scheduler=name)
+
+        await asyncio.gather(*map(look, self.names))
+
+    async def equal(self, within_s: float) -> float | None:
+        """Look until all copies are equal; seconds from the last heal, None: not so in this time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(within_s):
+                while equal_after(self.journal.events) is None:
+                    await asyncio.sleep(LOOK_S)
+                    await self.digests()
+        return equal_after(self.journal.events)
+
+    async def lists(self) -> None:
+        """What each lists as in force, into the journal."""
+        for name in self.names:
+            status, told = await self.ask(name, "GET", "/ops/cordons")
+            if status == 200:
+                ids = sorted(str(c["id"]) for c in told.get("cordons", []))
+                self.journal.note(What.LOOKED, kind=" ".join(ids), scheduler=name)
+
+    # Processes
+
+    async def start(self, name: str) -> None:
+        program = self.programs[name]
+        program.number += program.process is not None
+        await program.start()
+        self.journal.note(What.UP, scheduler=name)
+
+    async def kill(self, name: str) -> None:
+        process = self.programs[name].process
+        assert process
+        self.journal.note(What.DOWN, scheduler=name)
+        process.kill()
+        await process.wait()
+
+    def state(self, name: str) -> Path:
+        """The folder that outlives a scheduler."""
+        state = self.programs[name].state
+        assert state
+        return state
+
+    # Clients
+
+    def address(self) -> str:
+        """Of the next scheduler in turn, down or not."""
+        return self.programs[self.names[next(self._turns) % len(self.names)]].listen
+
+    async def load(self, seconds: float, rate: float = LOAD) -> None:
+        """Clients ask for so long, and all is answered."""
+        await self.clients.play([Tenant(f"t{i}", rate / 4, retries=1, heed=False) for i in range(4)], seconds)
+
+    # Faults
+
+    async def begin(self, fault: Fault) -> None:
+        for name in fault.touched(self.names):
+            self.journal.note(What.HARMED, kind=fault.trouble.name, scheduler=name)
+        harm = link_harm(fault)
+        match fault.trouble:
+            case Trouble.ONE_WAY | Trouble.DEAF:
+                self.harm(harm, *fault.who)
+            case Trouble.SEVER:
+                for relay in self.links(fault):
+                    relay.sever()
+            case Trouble.HALF_OPEN:
+                for relay in self.links(fault):
+                    relay.fall_silent()
+            case Trouble.FLAP:
+                for relay in self.links(fault):
+                    relay.flap(fault.size, fault.size)
+            case Trouble.KILL | Trouble.WIPE | Trouble.CLOCK:
+                await self.kill(fault.who[0])
+            case Trouble.PAUSE:
+                self.programs[fault.who[0]].signal(signal.SIGSTOP)
+            case Trouble.FULL_DISK:
+                state = self.state(fault.who[0])
+                state.rename(state.with_suffix(".aside"))
+                state.touch()  # a file: root may write into any folder, into a file's none
+            case _:
+                for relay in self.links(fault):
+                    relay.suffer(harm)
+
+    async def end(self, fault: Fault) -> None:
+        name = fault.who[0]
+        match fault.trouble:
+            case Trouble.TEAR | Trouble.SEVER:
+                pass  # over with the connection that it struck
+            case Trouble.WIPE:
+                shutil.rmtree(self.state(name))
+                self.state(name).mkdir()
+            case Trouble.CLOCK:
+                self.programs[name].env["ROBINHILL_CLOCK_OFFSET_US"] = str(int(fault.size * 1e6))
+            case Trouble.PAUSE:
+                self.programs[name].signal(signal.SIGCONT)
+            case Trouble.FULL_DISK:
+                self.state(name).unlink()
+                self.state(name).with_suffix(".aside").rename(self.state(name))
+            case Trouble.KILL:
+                pass
+            case _:
+                for relay in self.links(fault):
+                    relay.heal()
+        if fault.trouble in KILLS:
+            await self.start(name)
+        for touched in fault.touched(self.names):
+            self.journal.note(What.HEALED, kind=fault.trouble.name, scheduler=touched)
+
+    async def play(self, schedule: Schedule) -> None:
+        """Faults and calls at their times under load, until all is over and answered."""
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+
+        async def at(when_s: float) -> None:
+            await asyncio.sleep(max(0.0, start + when_s - loop.time()))
+
+        async def fault(its: Fault) -> None:
+            await at(its.at_s)
+            await self.begin(its)
+            await at(its.end_s)
+            await self.end(its)
+
+        async def call(its: Call) -> None:
+            await at(its.at_s)
+            if its.lift:
+                await self.lift(its.scheduler, its.worker, its.id)
+            else:
+                await self.cordon(its.scheduler, its.worker, its.id)
+
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.load(schedule.end_s))
+            for each in schedule.faults:
+                tasks.create_task(fault(each))
+            for one in schedule.calls:
+                tasks.create_task(call(one))
+
+
+def link_harm(fault: Fault) -> Harm:
+    """What a fault of a link does to what passes."""
+    match fault.trouble:
+        case Trouble.LOSS:
+            return Harm(loss=fault.size)
+        case Trouble.DELAY:
+            return Harm(delay_s=fault.size, jitter_s=fault.size / 2)
+        case Trouble.REORDER:
+            return Harm(reorder=fault.size)
+        case Trouble.DOUBLE:
+            return Harm(double=fault.size)
+        case Trouble.TEAR:
+            return Harm(torn_after=int(fault.size))
+        case Trouble.DEAF:
+            return Harm(loss=1.0)
+        case Trouble.STALL | Trouble.ONE_WAY | Trouble.PARTITION:
+            return Harm(stalled=True)
+        case _:
+            return NO_HARM
+
+
+@asynccontextmanager
+async def rig(
+    processes: int, folder: Path, *, seed: int = 0, mesh: Json | None = None, workers: int = WORKERS
+) -> AsyncIterator[Rig]:
+    """All of it at work, links up and copies equal; all of it has ended behind the block.
+
+    ``mesh``: further keys of the operators' file's section.
+    """
+    site = Site(KINDS, schedulers=processes)
+    names, journal, lateness = names_of(processes), Watched(), Lateness()
+    made = {f"w{i}": Worker(f"w{i}", site, journal, queue_limit=64) for i in range(workers)}
+    discovery = Discovery(made.values(), journal)
+    listens = {name: free_address() for name in names}
+    relays = {(a, b): Relay(listens[b], f"{seed} {a} {b}") for a, b in permutations(names, 2)}
+    programs: dict[str, Program] = {}
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        for worker in made.values():
+            await worker.start()
+            stack.push_async_callback(worker.stop)
+        await discovery.start()
+        stack.push_async_callback(discovery.stop)
+        for relay in relays.values():
+            await relay.start()
+            stack.push_async_callback(relay.stop)
+        for place, name in enumerate(names):
+            own = folder / name
+            (own / "state").mkdir(parents=True)
+            listen = free_address()
+            doors = {w.name: await w.door(name, listen) for w in made.values()}
+            peers = {b: relays[name, b].address for b in names if b != name}
+            section = {"installation": "rig", "listen": listens[name], "peers": peers, "bound_ms": BOUND_MS}
+            operator = {"mesh": section | (mesh or {})}
+            programs[name] = Program(
+                own, site, await discovery.view(doors), operator, name, place, listen, state=own / "state"
+            )
+        clients = Clients(site, lambda: it.address(), journal, seed)
+        it = Rig(names, journal, made, discovery, programs, relays, clients, session, lateness)
+        stack.push_async_callback(_stop, programs.values())
+        await asyncio.gather(*map(it.start, names))
+        if await it.equal(FORM_S) is None:
+            raise RuntimeError(f"the links did not come up; see {folder}")
+        lateness.start()
+        stack.callback(lateness.stop)
+        yield it
+
+
+async def _stop(programs: Iterable[Program]) -> None:
+    running = [p for p in programs if p.process and p.process.returncode is None]
+    for program in running:
+        program.signal(signal.SIGCONT)
+    await asyncio.gather(*(p.stop() for p in running))
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What a schedule showed."""
+
+    broken: list[str]
+    equal_s: float | None
+    sent: int
+    late_s: float  # this machine's own lateness
+    journal: Journal
+
+
+async def play(schedule: Schedule, folder: Path, *, on_lost: str, bound_ms: int = BOUND_MS) -> Outcome:
+    """One schedule on fresh processes, whose logs stay in the folder."""
+    mesh = {"on_lost": on_lost, "bound_ms": bound_ms}
+    async with rig(len(schedule.names), folder, seed=schedule.seed, mesh=mesh) as it:
+        it.journal.events[:] = [e for e in it.journal.events if e.what is not What.DIGEST]
+        await it.play(schedule)
+        equal = await it.equal(EQUAL_S + SPARE_S)
+        await it.lists()
+        late = it.lateness.worst_s
+    terms = Terms(bound_ms / 1000, on_lost == "hold", EQUAL_S, grace_s=0.05 + late)
+    sent = sum(e.what is What.SENT for e in it.journal.events)
+    return Outcome(broken(it.journal, terms, UNSAFE), equal, sent, late, it.journal)
+
+
+def schedule_of(seed: int, processes: int, only: str | None = None) -> Schedule:
+    """The seed's schedule, or those of its faults that are numbered."""
+    whole = draw(seed, processes, [f"w{i}" for i in range(WORKERS)])
+    if only is None:
+        return whole
+    kept = {int(n) for n in only.split(",") if n.strip().isdigit()}
+    return whole.only([f for f in whole.faults if f.number in kept])
+
+
+async def _main(options: argparse.Namespace) -> int:
+    async def run(schedule: Schedule) -> list[str]:
+        folder = Path(tempfile.mkdtemp(prefix="robinhill-rig-"))
+        outcome = await play(schedule, folder, on_lost=options.on_lost, bound_ms=options.bound_ms)
+        equal = "never" if outcome.equal_s is None else f"after {outcome.equal_s:.3f} s"
+        print(f"{outcome.sent} sends, copies equal {equal}; this machine was late by {outcome.late_s:.3f} s")
+        for what in outcome.broken:
+            print(f"  BROKEN: {what}")
+        if outcome.broken:
+            print(f"  logs: {folder}", flush=True)
+        else:
+            shutil.rmtree(folder)
+        return outcome.broken
+
+    schedule = schedule_of(options.seed, options.processes, options.only)
+    print(schedule, flush=True)
+    found = await run(schedule)
+    if found and options.shrink:
+
+        async def fails(faults: list[Fault]) -> bool:
+            print(f"with faults {[f.number for f in faults]}:", end=" ", flush=True)
+            return bool(await run(schedule.only(faults)))
+
+        schedule = schedule.only(await shrink(schedule.faults, fails))
+        print(f"cut down to:\n{schedule}")
+    if found:
+        print(f"play it again: {schedule.replay()} --on-lost {options.on_lost} --bound-ms {options.bound_ms}")
+    return int(bool(found))
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m robinhill.standin.rig", description=__doc__)
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--processes", type=int, default=5)
+    parser.add_argument("--only", help="numbers of the faults to play, with commas, or none")
+    parser.add_argument("--on-lost", choices=("hold", "serve"), default="hold")
+    parser.add_argument("--bound-ms", type=int, default=BOUND_MS)
+    parser.add_argument("--shrink", action="store_true", help="cut a failing schedule down")
+    return asyncio.run(_main(parser.parse_args(arguments)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/robinhill/standin/worker.py
+++ b/robinhill/standin/worker.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -54,7 +55,12 @@
 
 @dataclass(slots=True, eq=False)
 class Worker:
-    """One worker on a loopback address. What goes wrong with it is set from outside."""
+    """One worker on a loopback address. What goes wrong with it is set from outside.
+
+    A call does not say which scheduler sent it. Where there are several, each is told an address of its own
+    for the worker (``door``), as the protocol lets ``hostPort`` differ between schedulers; what came in there
+    is called back there.
+    """
 
     name: str
     site: Site
@@ -64,10 +70,10 @@
     queue_limit: int = 32
     host_port: str = ""
     started_unix_ms: int = 0
-    scheduler: str = ""  # where to call back
+    scheduler: str = ""  # where to call back what came by `host_port`
     core: Core = field(init=False)
     _session: aiohttp.ClientSession | None = None
-    _runner: web.ServerRunner | None = None
+    _runners: list[web.ServerRunner] = field(default_factory=list)
     _calls: set[asyncio.Task[None]] = field(default_factory=set)
     _awake: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -86,20 +92,27 @@
 
     async def start(self) -> None:
         self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S))
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None), shutdown_timeout=0.1)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, LOOPBACK, 0)
-        await site.start()
-        assert self._runner.addresses
-        self.host_port = "{}:{}".format(*self._runner.addresses[0])
+        self.host_port = await self.door()
+
+    async def door(self, name: str = "", listen: str | None = None) -> str:
+        """A further address, for the scheduler of this name that listens for call-backs there."""
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            return await self._handle(request, name, listen)
+
+        runner = web.ServerRunner(web.Server(handle, access_log=None), shutdown_timeout=0.1)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, LOOPBACK, 0).start()
+        return "{}:{}".format(*runner.addresses[0])
 
     async def stop(self) -> None:
         self.core.vanish()
         self._awake.set()
         for task in list(self._calls):
             task.cancel()
-        if self._runner:
-            await self._runner.cleanup()
+        for runner in self._runners:
+            await runner.cleanup()
         if self._session:
             await self._session.close()
 
@@ -122,7 +135,7 @@
 
     # The protocol
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _handle(self, request: web.BaseRequest, name: str, listen: str | None) -> web.StreamResponse:
         if self.core.silent:
             await self._awake.wait()
             if request.transport:
@@ -138,34 +151,36 @@
         await request.read()
         if (request_id := request.headers.get("X-Request-ID")) is None:
             return web.Response(status=404)
-        return self._take(request, request_id)
+        return self._take(request, request_id, name, listen)
 
-    def _take(self, request: web.BaseRequest, request_id: str) -> web.Response:
+    def _take(self, request: web.BaseRequest, request_id: str, name: str, listen: str | None) -> web.Response:
         kind = request.headers.get("X-Priority-Class", "")
         work_ms = self.site.kind(kind).work_ms
         for pair in request.headers.get("X-Attrs", "").split(","):
             if pair.startswith(WORK):
                 work_ms = float(pair.removeprefix(WORK))
-        job = Job(request_id, kind, work_ms * 1000, 1, 0.0, self._tell)
+        tell = partial(self._tell, listen)
+        job = Job(request_id, kind, work_ms * 1000, 1, 0.0, tell, scheduler=name)
         if self.core.take(job):
             return web.Response(status=202)
         return web.Response(status=503, headers={"X-Not-Processed": "1"})
 
-    def _tell(self, what: str, job: Job) -> None:
+    def _tell(self, listen: str | None, what: str, job: Job) -> None:
         """A word of the model's worker becomes a call to the scheduler."""
         words = {"id": job.request, "from": self.name, "state": what}
         if what == "done":
             words["result"] = f"{job.request} by {self.name}"
-        task = asyncio.get_running_loop().create_task(self._call(orjson.dumps(words)))
+        task = asyncio.get_running_loop().create_task(self._call(listen, orjson.dumps(words)))
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
-    async def _call(self, body: bytes) -> None:
+    async def _call(self, listen: str | None, body: bytes) -> None:
         """Repeat a call until it is answered, ten times at most."""
         assert self._session
         for _ in range(CALLS):
+            to = f"http://{listen or self.scheduler}/v1/job-events"
             with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-                async with self._session.post(f"http://{self.scheduler}/v1/job-events", data=body) as answer:
+                async with self._session.post(to, data=body) as answer:
                     if answer.status in (200, 204):
                         return
             await asyncio.sleep(CALL_AGAIN_S)
--- a/robinhill/witness/journal.py
+++ b/robinhill/witness/journal.py
@@ -9,7 +9,7 @@
 
 
 class What(Enum):
-    """What can happen to a request or a worker."""
+    """What can happen to a request, a worker or a scheduler."""
 
     ASKED = auto()  # a client's request is written
     ANSWERED = auto()  # its answer is here whole
@@ -22,6 +22,18 @@
     LEAVING = auto()  # discovery has written that a worker leaves
     STARTED = auto()  # a worker has started, cold
     FELL = auto()  # it was sent more than it could bear
+    # Of several schedulers side by side; a cordon's id stands where a request's does
+    CORDON_ASKED = auto()  # an operator's call is written, at a scheduler
+    CORDONED = auto()  # it was accepted
+    IN_FORCE = auto()  # and is said to hold everywhere
+    LIFT_ASKED = auto()
+    LIFTED = auto()  # the call was answered with yes
+    LOOKED = auto()  # what a scheduler lists as in force: ids in `kind`, with blanks between
+    DIGEST = auto()  # what a scheduler tells as the digest of its copy, in `kind`
+    HARMED = auto()  # a fault befalls a scheduler or one of its links
+    HEALED = auto()  # and is over
+    DOWN = auto()  # a scheduler's process was killed
+    UP = auto()  # and is at work again
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,6 +46,7 @@
     worker: str = ""
     status: int = 0
     kind: str = ""
+    scheduler: str = ""  # who sent it, or whom it befell
 
 
 @dataclass(slots=True)
@@ -49,5 +62,8 @@
         if event.what is What.BEGAN:
             self.begun[event.worker] += 1
 
-    def note(self, what: What, request: str = "", worker: str = "", status: int = 0, kind: str = "") -> None:
-        self.add(Event(time.monotonic(), what, request, worker, status, kind))
+    def note(
+        self, what: What, request: str = "", worker: str = "", status: int = 0, kind: str = "",
+        scheduler: str = "",
+    ) -> None:  # fmt: skip
+        self.add(Event(time.monotonic(), what, request, worker, status, kind, scheduler))
--- a/tests/test_standin_relay.py
+++ b/tests/test_standin_relay.py
@@ -14,7 +14,9 @@
 
 
 @asynccontextmanager
-async def link(seed: str = "s", unit: Unit = Unit.MESSAGE) -> AsyncIterator[tuple[Relay, Callable[[], Awaitable[Socket]]]]:
+async def link(
+    seed: str = "s", unit: Unit = Unit.MESSAGE
+) -> AsyncIterator[tuple[Relay, Callable[[], Awaitable[Socket]]]]:
     """An echo behind a relay, and what dials it."""
 
     async def echo(request: web.BaseRequest) -> web.StreamResponse:
