--- a/robinhill/standin/rig.py
+++ b/robinhill/standin/rig.py
@@ -105,7 +105,7 @@
     clients: Clients
     session: aiohttp.ClientSession
     lateness: Lateness
-    _turns: count[int] = field(default_factory=count)
+    _turns: "count[int]" = field(default_factory=count)
 
     # Links
 
