--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -89,6 +89,7 @@
     machine_types: tuple[str, ...]
     tenants: tuple[str, ...] = ()
     operator: OperatorFile | None = None  # None: no such file is named
+    clock_offset_us: int = 0  # the host's clock is taken to be wrong by so much, in tests
 
     def client_sockets(self, processes: int = 1) -> int:
         """Connections that clients and call-backs may have: half of the descriptors that are not our own.
@@ -132,6 +133,7 @@
         machine_types=_names(options.get("shapes", []), "settings.shapes"),
         tenants=tuple(_text(t.get("name"), "settings.tenants") for t in options.get("tenants", [])),
         operator=_operator(env),
+        clock_offset_us=_offset(env.get("ROBINHILL_CLOCK_OFFSET_US")),
     )
 
 
@@ -185,6 +187,13 @@
     return Address(host.strip("[]"), int(port))
 
 
+def _offset(text: str | None) -> int:
+    try:
+        return int(text or "0")
+    except ValueError:
+        raise ConfigError("ROBINHILL_CLOCK_OFFSET_US", f"must be microseconds, is {text!r}") from None
+
+
 def _socket_fd(text: str | None) -> int | None:
     """A descriptor that we have inherited, if it is a listening socket."""
     if not text:
--- a/robinhill/net/clock.py
+++ b/robinhill/net/clock.py
@@ -7,11 +7,12 @@
     """Unix time in microseconds: anchored to the system's clock once, then advanced by the monotonic one.
 
     The module's clock must never step back, and discovery's ``startedAtMs`` is Unix time; on two scales a
-    worker that has just started would look warm, or warm ones cold.
+    worker that has just started would look warm, or warm ones cold. ``offset_us``: the host's clock is wrong
+    by so much, for tests of just that.
     """
 
-    def __init__(self) -> None:
-        self._anchor = time.time_ns() - time.monotonic_ns()
+    def __init__(self, offset_us: int = 0) -> None:
+        self._anchor = time.time_ns() - time.monotonic_ns() + offset_us * 1000
 
     def now_us(self) -> int:
         return (self._anchor + time.monotonic_ns()) // 1000
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -48,7 +48,7 @@
     def __init__(self, config: Config, env: Mapping[str, str] = os.environ) -> None:
         self.config = config
         self.env = env  # for a reload
-        self.clock = Clock()
+        self.clock = Clock(config.clock_offset_us)
         self.supervisor = Supervisor()
         self.figures = Figures(config.classes)
         self.decider = Decider(
