--- a/robinhill/standin/rig.py
+++ b/robinhill/standin/rig.py
@@ -14,6 +14,7 @@
 import signal
 import sys
 import tempfile
+from collections import Counter
 from collections.abc import AsyncIterator, Callable, Iterable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -42,6 +43,8 @@
 LOOK_S = 0.02  # between two looks at the digests
 FORM_S = 20.0  # for the links to come up at the start
 EQUAL_S = 2.0
+PROOF_S = 3.0  # from a call to a cordon in force, once all is well
+PROOF_LOAD_S = 0.8
 SPARE_S = 4.0  # that copies are looked at past the time in which they have to be equal
 # Short jobs: a send must be able to come at any moment, and the end of a run be near.
 KINDS = (
@@ -188,6 +191,20 @@
                 ids = sorted(str(c["id"]) for c in told.get("cordons", []))
                 self.journal.note(What.LOOKED, kind=" ".join(ids), scheduler=name)
 
+    async def prove(self) -> None:
+        """Once all faults are over: each scheduler serves, and a cordon at each comes into force."""
+
+        async def try_(name: str, worker: str) -> None:
+            body = {"target": f"worker/{worker}", "reason": "a trial"}
+            path = cordon_path(f"proof-{name}", PROOF_S)
+            _, told = await self.ask(name, "PUT", path, body)
+            self.journal.note(
+                What.PROVED, worker=worker, status=int(bool(told.get("in_force"))), scheduler=name
+            )
+
+        await self.load(PROOF_LOAD_S)
+        await asyncio.gather(*(try_(name, next(iter(self.workers))) for name in self.names))
+
     # Processes
 
     async def start(self, name: str) -> None:
@@ -388,10 +405,18 @@
 
     broken: list[str]
     equal_s: float | None
-    sent: int
+    counts: Counter[What]
     late_s: float  # this machine's own lateness
     journal: Journal
 
+    def __str__(self) -> str:
+        n, equal = self.counts, "never" if self.equal_s is None else f"after {self.equal_s:.3f} s"
+        return (
+            f"{n[What.SENT]} sends, {n[What.CORDONED]} of {n[What.CORDON_ASKED]} cordons accepted, "
+            f"{n[What.LIFTED]} of {n[What.LIFT_ASKED]} lifts; copies equal {equal}; "
+            f"this machine was late by {self.late_s:.3f} s at most"
+        )
+
 
 async def play(schedule: Schedule, folder: Path, *, on_lost: str, bound_ms: int = BOUND_MS) -> Outcome:
     """One schedule on fresh processes, whose logs stay in the folder."""
@@ -401,10 +426,11 @@
         await it.play(schedule)
         equal = await it.equal(EQUAL_S + SPARE_S)
         await it.lists()
+        await it.prove()
         late = it.lateness.worst_s
     terms = Terms(bound_ms / 1000, on_lost == "hold", EQUAL_S, grace_s=0.05 + late)
-    sent = sum(e.what is What.SENT for e in it.journal.events)
-    return Outcome(broken(it.journal, terms, UNSAFE), equal, sent, late, it.journal)
+    counts = Counter(e.what for e in it.journal.events)
+    return Outcome(broken(it.journal, terms, UNSAFE), equal, counts, late, it.journal)
 
 
 def schedule_of(seed: int, processes: int, only: str | None = None) -> Schedule:
@@ -420,8 +446,7 @@
     async def run(schedule: Schedule) -> list[str]:
         folder = Path(tempfile.mkdtemp(prefix="robinhill-rig-"))
         outcome = await play(schedule, folder, on_lost=options.on_lost, bound_ms=options.bound_ms)
-        equal = "never" if outcome.equal_s is None else f"after {outcome.equal_s:.3f} s"
-        print(f"{outcome.sent} sends, copies equal {equal}; this machine was late by {outcome.late_s:.3f} s")
+        print(outcome)
         for what in outcome.broken:
             print(f"  BROKEN: {what}")
         if outcome.broken:
--- a/robinhill/witness/journal.py
+++ b/robinhill/witness/journal.py
@@ -29,6 +29,7 @@
     LIFT_ASKED = auto()
     LIFTED = auto()  # the call was answered with yes
     LOOKED = auto()  # what a scheduler lists as in force: ids in `kind`, with blanks between
+    PROVED = auto()  # after all faults a cordon was tried at a scheduler; status 1: it came into force
     DIGEST = auto()  # what a scheduler tells as the digest of its copy, in `kind`
     HARMED = auto()  # a fault befalls a scheduler or one of its links
     HEALED = auto()  # and is over
--- a/robinhill/witness/mesh.py
+++ b/robinhill/witness/mesh.py
@@ -46,6 +46,7 @@
     found += late_sends(events, terms)
     found += lists(events, terms)
     found += copies(events, terms)
+    found += recovered(events)
     return found
 
 
@@ -171,6 +172,19 @@
     return equal
 
 
+def recovered(events: list[Event]) -> list[str]:
+    """Once faults are over and clients ask, each scheduler sends again, and what it cordons comes into force.
+
+    Without this rule a scheduler that never sends would keep all others.
+    """
+    healed = max((e.at for e in events if e.what in (What.HEALED, What.UP)), default=0.0)
+    live = sorted({e.scheduler for e in events if e.what is What.UP})
+    sent = {e.scheduler for e in events if e.what is What.SENT and e.at > healed}
+    proved = [e for e in events if e.what is What.PROVED and e.at > healed]
+    found = [f"{name} sent nothing after the last heal" for name in live if proved and name not in sent]
+    return found + [f"no cordon came into force at {e.scheduler} any more" for e in proved if not e.status]
+
+
 def copies(events: list[Event], terms: Terms) -> list[str]:
     """All copies are equal within the stated time after the last heal, and stay so."""
     if not any(e.what is What.UP for e in events):
