--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -1,7 +1,7 @@
 """What schedulers that share state keep to under faults, and how soon a cordon holds; on real processes.
 
-    python -m benchmarks.mesh faults --seeds 1-20         # random fault schedules: rules, and time to equal copies
-    python -m benchmarks.mesh cordon --processes 5,12     # from the call to the last send anywhere
+    python -m benchmarks.mesh faults --seeds 1-20      # random fault schedules: rules, time to equal copies
+    python -m benchmarks.mesh cordon --processes 5,12  # from the call to the last send anywhere
     python -m benchmarks.mesh cordon --loss 0.2 --delay-ms 100
     python -m benchmarks.mesh sum                         # what all runs in the file show together
 
@@ -68,7 +68,7 @@
             continue
         counts = {what.name: n for what, n in outcome.counts.items()}
         note(out, line | {"broken": outcome.broken, "equal_s": outcome.equal_s, "late_s": outcome.late_s,
-                          "counts": counts})  # fmt: skip
+                          "counts": counts, "links": outcome.links})  # fmt: skip
         print(f"seed {seed}: {outcome}", flush=True)
         for what in outcome.broken[:5]:
             print(f"  BROKEN: {what}")
@@ -150,10 +150,11 @@
         if not its:
             continue
         equal = sorted(x["equal_s"] for x in its if x["equal_s"] is not None)
+        late = sum(e > EQUAL_S for e in equal)
         print(
             f"{mode}: {len(its)} schedules, {sum(bool(x['broken']) for x in its)} with a broken rule; copies "
             f"equal in {len(equal)}, after {statistics.median(equal or [0]):.3f} s in the middle and "
-            f"{max(equal, default=0):.3f} at worst; {sum(e > EQUAL_S for e in equal)} later than {EQUAL_S:g} s"
+            f"{max(equal, default=0):.3f} at worst; {late} later than {EQUAL_S:g} s"
         )
         for x in its:
             if x["broken"]:
--- a/robinhill/standin/program.py
+++ b/robinhill/standin/program.py
@@ -42,6 +42,7 @@
     env: dict[str, str] = field(default_factory=dict)
     pass_fds: tuple[int, ...] = ()
     number: int = 0
+    entry: tuple[str, ...] = ("-m", "robinhill")  # what the interpreter is told to run
     state: Path | None = None  # what it gets as $TMPDIR, if not the folder of its configuration
 
     @property
@@ -72,7 +73,7 @@
             env["GW_OPERATOR"] = str(self.folder / "operator.json")
         with self.log.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "robinhill", cwd=ROOT, env=env, stderr=log, pass_fds=self.pass_fds
+                sys.executable, *self.entry, cwd=ROOT, env=env, stderr=log, pass_fds=self.pass_fds
             )
         async with asyncio.timeout(START_S):
             while not self._ready():
--- a/robinhill/standin/rig.py
+++ b/robinhill/standin/rig.py
@@ -52,6 +52,7 @@
     JobKind("season-report", 60, 200, 2.0, 2_000, share=0.3),
     JobKind("renewal-charge", 40, 100, 2.5, 2_000, worth=8.0, repeat="fragile", share=0.2),
 )
+PROGRAM = ("-m", "robinhill")
 UNSAFE = tuple(k.name for k in KINDS if k.repeat == "fragile")
 
 
@@ -347,11 +348,12 @@
 
 @asynccontextmanager
 async def rig(
-    processes: int, folder: Path, *, seed: int = 0, mesh: Json | None = None, workers: int = WORKERS
-) -> AsyncIterator[Rig]:
+    processes: int, folder: Path, *, seed: int = 0, mesh: Json | None = None, workers: int = WORKERS,
+    entry: tuple[str, ...] = PROGRAM,
+) -> AsyncIterator[Rig]:  # fmt: skip
     """All of it at work, links up and copies equal; all of it has ended behind the block.
 
-    ``mesh``: further keys of the operators' file's section.
+    ``mesh``: further keys of the operators' file's section; ``entry``: what is run in place of the program.
     """
     site = Site(KINDS, schedulers=processes)
     names, journal, lateness = names_of(processes), Watched(), Lateness()
@@ -379,8 +381,9 @@
             section = {"installation": "rig", "listen": listens[name], "peers": peers, "bound_ms": BOUND_MS}
             operator = {"mesh": section | (mesh or {})}
             programs[name] = Program(
-                own, site, await discovery.view(doors), operator, name, place, listen, state=own / "state"
-            )
+                own, site, await discovery.view(doors), operator, name, place, listen, entry=entry,
+                state=own / "state",
+            )  # fmt: skip
         clients = Clients(site, lambda: it.address(), journal, seed)
         it = Rig(names, journal, made, discovery, programs, relays, clients, session, lateness)
         stack.push_async_callback(_stop, programs.values())
@@ -408,6 +411,7 @@
     counts: Counter[What]
     late_s: float  # this machine's own lateness
     journal: Journal
+    links: dict[str, int]  # what befell messages between schedulers
 
     def __str__(self) -> str:
         n, equal = self.counts, "never" if self.equal_s is None else f"after {self.equal_s:.3f} s"
@@ -418,10 +422,13 @@
         )
 
 
-async def play(schedule: Schedule, folder: Path, *, on_lost: str, bound_ms: int = BOUND_MS) -> Outcome:
+async def play(
+    schedule: Schedule, folder: Path, *, on_lost: str, bound_ms: int = BOUND_MS,
+    entry: tuple[str, ...] = PROGRAM,
+) -> Outcome:  # fmt: skip
     """One schedule on fresh processes, whose logs stay in the folder."""
     mesh = {"on_lost": on_lost, "bound_ms": bound_ms}
-    async with rig(len(schedule.names), folder, seed=schedule.seed, mesh=mesh) as it:
+    async with rig(len(schedule.names), folder, seed=schedule.seed, mesh=mesh, entry=entry) as it:
         it.journal.events[:] = [e for e in it.journal.events if e.what is not What.DIGEST]
         await it.play(schedule)
         equal = await it.equal(EQUAL_S + SPARE_S)
@@ -430,7 +437,11 @@
         late = it.lateness.worst_s
     terms = Terms(bound_ms / 1000, on_lost == "hold", EQUAL_S, grace_s=0.05 + late)
     counts = Counter(e.what for e in it.journal.events)
-    return Outcome(broken(it.journal, terms, UNSAFE), equal, counts, late, it.journal)
+    links = {"dialled": sum(r.dialled for r in it.relays.values())}
+    passed = [p for relay in it.relays.values() for p in relay.passed.values()]
+    for what in ("whole", "lost", "doubled", "overtaken", "torn", "octets"):
+        links[what] = sum(getattr(p, what) for p in passed)
+    return Outcome(broken(it.journal, terms, UNSAFE), equal, counts, late, it.journal, links)
 
 
 def schedule_of(seed: int, processes: int, only: str | None = None) -> Schedule:
--- a/robinhill/standin/schedule.py
+++ b/robinhill/standin/schedule.py
@@ -15,9 +15,10 @@
 
 SPAN_S = 5.0  # in which faults begin
 SHORTEST_S, LONGEST_S = 0.2, 2.0
-MOST_FAULTS = 8
-FEWEST_FAULTS = 2
+MOST_FAULTS = 10
+FEWEST_FAULTS = 3
 CALLS = (5, 10)
+AMID = 0.6  # of the calls come while a fault lasts, at whom it strikes
 REFUSED_DRAWS = 200  # in a row, after which a schedule is as full as it will be
 CLOCKS_S = (-3600.0, -90.0, -5.0, 0.4, 5.0, 90.0, 3600.0)
 Item = TypeVar("Item")
@@ -48,6 +49,8 @@
 LINKS = tuple(Trouble)[: tuple(Trouble).index(Trouble.PARTITION)]
 PROCESSES = tuple(Trouble)[tuple(Trouble).index(Trouble.KILL) :]
 KILLS = (Trouble.KILL, Trouble.WIPE, Trouble.CLOCK)
+# What cuts schedulers off or takes them by surprise is drawn more often than what merely slows a link.
+OFTEN = (Trouble.PARTITION, Trouble.PARTITION, Trouble.PAUSE, Trouble.KILL)
 INSTANT = (Trouble.TEAR, Trouble.SEVER)
 SHARES = {Trouble.LOSS: (0.1, 0.6), Trouble.REORDER: (0.1, 0.5), Trouble.DOUBLE: (0.1, 0.5)}
 
@@ -141,9 +144,9 @@
 
 
 def draw(
-    seed: int, processes: int, workers: Sequence[str], troubles: Sequence[Trouble] = tuple(Trouble)
+    seed: int, processes: int, workers: Sequence[str], troubles: Sequence[Trouble] = (*Trouble, *OFTEN)
 ) -> Schedule:
-    """The schedule of a seed. Faults and calls have streams of their own."""
+    """The schedule of a seed."""
     names = names_of(processes)
     rng = random.Random(f"faults {seed}")
     faults: list[Fault] = []
@@ -158,7 +161,7 @@
         faults.append(fault)
     faults.sort(key=lambda f: f.at_s)
     numbered = tuple(Fault(i, f.at_s, f.for_s, f.trouble, f.who, f.size) for i, f in enumerate(faults))
-    return Schedule(seed, names, numbered, _calls(random.Random(f"calls {seed}"), names, workers))
+    return Schedule(seed, names, numbered, _calls(rng, names, workers, numbered))
 
 
 def _fault(rng: random.Random, number: int, trouble: Trouble, names: Sequence[str]) -> Fault:
@@ -181,19 +184,30 @@
     return Fault(number, at, 0.0 if trouble in INSTANT else lasts, trouble, who, size)
 
 
-def _calls(rng: random.Random, names: Sequence[str], workers: Sequence[str]) -> tuple[Call, ...]:
+def _calls(
+    rng: random.Random, names: Sequence[str], workers: Sequence[str], faults: Sequence[Fault]
+) -> tuple[Call, ...]:
     """Each id is set once, so that what a lift's answer means is never in doubt; a third is never lifted.
 
     At most half of the workers are ever cordoned: the others have to serve.
     """
+
+    def when() -> tuple[float, str]:
+        if faults and rng.random() < AMID:
+            fault = rng.choice(faults)
+            return round(rng.uniform(fault.at_s, fault.end_s), 3), rng.choice(fault.who)
+        return round(rng.uniform(0.0, SPAN_S), 3), rng.choice(names)
+
     calls: list[Call] = []
     may = sorted(rng.sample(list(workers), max(1, len(workers) // 2)))
     for number in range(rng.randint(*CALLS)):
-        at, worker = round(rng.uniform(0.0, SPAN_S), 3), rng.choice(may)
-        calls.append(Call(at, False, rng.choice(names), worker, f"c{number}"))
+        worker = rng.choice(may)
+        at, scheduler = when()
+        calls.append(Call(at, False, scheduler, worker, f"c{number}"))
         if rng.random() < 2 / 3:
-            later = round(at + rng.uniform(0.02, 2.0), 3)
-            calls.append(Call(later, True, rng.choice(names), worker, f"c{number}"))
+            later, other = when()
+            later = max(later, round(at + rng.uniform(0.02, 1.0), 3))
+            calls.append(Call(later, True, other, worker, f"c{number}"))
     return tuple(sorted(calls, key=lambda c: (c.at_s, c.id)))
 
 
