--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -186,6 +186,7 @@
         self.list_changed: Callable[[], None] | None = None  # hears when discovery has told of workers
         self.zones = list(config.zones)
         self.machine_types = list(config.machine_types)
+        self.tenants = {name: number for number, name in enumerate(config.tenants)}
 
     def start(self, known: DestinationList | None = None) -> None:
         self._perform(self.balancer.start(self.clock.now_us()))
@@ -285,8 +286,11 @@
         if self.tape and taken.caller is None:  # else the door has told of it
             self.tape.arrived(request, taken.arrived_us, "")
         left_us = max(1, deadline_us - self.clock.now_us())
+        tenant = self.tenants.get(request.tenant, 0)
         self._decide(
-            api.Arrived(api.Request(job, request.job_class, left_us, client_repeat=request.client_repeat))
+            api.Arrived(
+                api.Request(job, request.job_class, left_us, tenant, request.cost_us, request.client_repeat)
+            )
         )
 
     def _send(self, action: api.Send) -> None:
