--- a/robinhill/mesh/freshness.py
+++ b/robinhill/mesh/freshness.py
@@ -48,7 +48,7 @@
 """Another process's microseconds may be this much too long, one in so many: NTP slews by 500 parts in a
 million at most, and quartz is ten times better."""
 
-NEVER = -1
+NEVER = -(1 << 62)
 """`lease_until` where there is no lease that could end."""
 
 
