--- a/robinhill/net/cordons.py
+++ b/robinhill/net/cordons.py
@@ -37,6 +37,7 @@
 
 Json = dict[str, Any]
 LEAST_LOOK_US = 5_000
+ALIVE_US = 10_000_000  # since when a scheduler may not have been heard of to be dialled as one that runs
 STARTS_S = 0.05  # in which starts of others are gathered into one word: they come in crowds
 FADES_US = 3_600_000_000  # how often what must be written anew is looked for
 NOT_STORED = 507  # the kind is full
@@ -481,6 +482,11 @@
             "schedulers": [self._stand(name, now) for name in self.names],
         }
 
+    def alive(self) -> set[str]:
+        """Schedulers of which something was heard of late, over whatever way."""
+        late_us = mono_us() - max(ALIVE_US, 3 * self.options.bound_ms * 1000)
+        return {n for n in self.names if (at := self.freshness.as_of(n)) is not None and at > late_us}
+
     def figures(self) -> list[str]:
         """Lines for operators, without their prefix."""
         now = mono_us()
--- a/robinhill/net/peers.py
+++ b/robinhill/net/peers.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from robinhill.config import Address
+from robinhill.mesh import overlay
 from robinhill.mesh.frames import MAX_FRAME
 from robinhill.mesh.session import Ages, Answered, Event, Greeted, Identity, Learned, Session, Store, Told
 from robinhill.mesh.words import PeerRefused, PeerUnreachable
@@ -85,11 +86,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Configure:
-    """Whom to know, where they are, and whom of them to have links to."""
+    """Whom to know, where they are, how many links to keep, and how often each is asked."""
 
     identity: Identity
     addresses: Mapping[str, str]
-    partners: Sequence[str]
     most_links: int
     interval_us: int
 
@@ -121,6 +121,8 @@
         self.rng = rng
         self.links: dict[str, PeerLink] = {}  # greeted
         self.fresh: set[PeerLink] = set()  # not greeted yet
+        self.partners: Sequence[str] = self._partners()
+        self.alive: Callable[[], Collection[str]] = lambda: self.links.keys()  # who is thought to run
         self.told: Callable[[str, bytes], None] = lambda name, words: None  # words between members
         self.counts = dict.fromkeys(("opened", "lost", "refused", "frames_in", "frames_out", "bytes_in",
                                      "bytes_out"), 0)  # fmt: skip
@@ -278,7 +280,7 @@
         other = self.links.get(name)
         if other is None:
             c = self.configured
-            if name not in c.partners and len(self.links) >= c.most_links:
+            if name not in self.partners and len(self.links) >= c.most_links:
                 link.end("no room for more links")
                 return False
         else:
@@ -315,8 +317,18 @@
 
     # Dialling
 
+    def _partners(self) -> list[str]:
+        own = self.configured.identity
+        return overlay.partners(own.name, own.names)[: self.configured.most_links]
+
+    def _wanted(self) -> list[str]:
+        """Partners, and others along the ring while too few of these are there."""
+        own = self.configured.identity
+        alive = {*self.alive(), *self.links}
+        return [*self.partners, *overlay.repairs(own.name, own.names, alive)]
+
     def _dial_missing(self) -> None:
-        for name in self.configured.partners:
+        for name in self._wanted():
             if name not in self.links and name not in self._dialling and not self._stopping:
                 task = self.supervisor.spawn(self._dial(name), f"dial {name}")
                 self._dialling[name] = task
@@ -328,7 +340,7 @@
         began_s = time.monotonic()
         if name < self.configured.identity.name:
             await asyncio.sleep(COURTESY_S)
-        while name in self.configured.partners and name not in self.links and not self._stopping:
+        while name in self._wanted() and name not in self.links and not self._stopping:
             why = await self._try(name)
             if why is None or name in self.links:
                 return
@@ -395,6 +407,7 @@
             gone = [n for n in self.links if old.addresses.get(n) != new.addresses.get(n)]
         else:
             gone = list(self.links)
+        self.partners = self._partners()
         for name in gone:
             self.links[name].end("the list of schedulers has changed")
         self._dial_missing()
--- a/robinhill/net/sharing.py
+++ b/robinhill/net/sharing.py
@@ -88,6 +88,7 @@
         )
         self._offsets: dict[str, int] = {}  # of others' clocks, against our own
         self._renewed_s = -RENEW_S
+        self.peers.alive = self.cordons.alive
         self.cordons.changed = self.peers.wake
         self.cordons.on_serving = self._serve
         self.cordons.outdated = self._outdated
@@ -217,7 +218,7 @@
         names = _names(options, self.name)
         identity = Identity(options.installation, self.name, self.replica.clock.incarnation, names)
         others = options.others(self.name)
-        return Configure(identity, others, sorted(others), options.partners, options.interval_us)
+        return Configure(identity, others, options.partners, options.interval_us)
 
     async def close(self) -> None:
         self.cordons.leave()
