--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -596,7 +596,7 @@
         No worker has been away, so none counts as started when it is over.
         """
         self.vouched = yes
-        log.log(logging.INFO if yes else logging.WARNING, "lease_regained" if yes else "lease_lost")
+        log.log(logging.INFO if yes else logging.WARNING, "lease_held" if yes else "lease_lost")
         self._tell_anew()
 
     def _tell_anew(self) -> None:
--- a/robinhill/net/peerlink.py
+++ b/robinhill/net/peerlink.py
@@ -29,6 +29,7 @@
         self.dialled = dialled
         self.opened_us = opened_us  # monotonic
         self.ended: str | None = None  # why it was ended from here
+        self.proven = False  # a ping was answered: both sides have taken it
         self._wake = asyncio.Event()
         self._end = asyncio.Event()
 
--- a/robinhill/net/peers.py
+++ b/robinhill/net/peers.py
@@ -34,6 +34,8 @@
 LEAST_DEAD_US = 1_000_000
 AWAY_US = 500_000  # a look that is so late: this process stood still, and links had no chance to be heard
 BIND_AGAIN_S = 0.2  # while another process of this scheduler has the address still
+MOST_TRIES = 16  # that are counted
+LASTING_US = 2_000_000  # a link that lives so long was no try that failed
 SAID_AGAIN_S = 60.0  # how often a peer that stays unreachable is told of again
 
 
@@ -128,6 +130,8 @@
                                      "bytes_out"), 0)  # fmt: skip
         self.refusals: dict[str, str] = {}  # the last one by name or address, for operators; bounded
         self._dialling: dict[str, asyncio.Task[None]] = {}
+        self._tries: dict[str, int] = {}  # in a row without a link that lasted
+        self._said_s: dict[str, float] = {}  # when it was last told that a peer can't be reached
         self._client: aiohttp.ClientSession | None = None
         self._runner: web.ServerRunner | None = None
         self._looked_us = mono_us()
@@ -210,7 +214,8 @@
 
     async def _run(
         self, socket: web.WebSocketResponse | aiohttp.ClientWebSocketResponse, address: str, dialled: bool
-    ) -> PeerLink:
+    ) -> str:
+        """Until the link ends; why it did."""
         c = self.configured
         session = Session(c.identity, self.store, self.ages, dialled, c.interval_us)
         link = PeerLink(socket, session, address, dialled, mono_us())
@@ -221,7 +226,7 @@
             self.tell(Closed(link, "this scheduler ends"))
             raise
         self.tell(Closed(link, why))
-        return link
+        return why
 
     def _draw(self, link: PeerLink) -> bytes | None:
         frame = link.session.draw(self.clock.now_us(), mono_us())
@@ -258,6 +263,10 @@
             case Learned():
                 self.hearer.learned(event)
             case Answered():
+                if not link.proven and self.links.get(link.name) is link:
+                    link.proven = True
+                    extra = {"peer": link.name, "dialled": link.dialled, "links": len(self.links)}
+                    log.info("peer_linked", extra=extra)
                 self.hearer.answered(link.name, event)
             case Told(words=words):
                 self.told(link.name, words)
@@ -299,10 +308,6 @@
                 return False
             other.end("another link took its place")
         self.links[name] = link
-        log.info(
-            "peer_linked",
-            extra={"peer": name, "dialled": link.dialled, "links": len(self.links)},
-        )
         return True
 
     def _closed(self, link: PeerLink, why: str) -> None:
@@ -310,9 +315,10 @@
         if self.links.get(link.name) is not link:
             return
         del self.links[link.name]
-        self.counts["lost"] += 1
         self.hearer.lost(link.name)
-        log.warning("peer_lost", extra={"peer": link.name, "why": why, "links": len(self.links)})
+        if link.proven:
+            self.counts["lost"] += 1
+            log.warning("peer_lost", extra={"peer": link.name, "why": why, "links": len(self.links)})
         self._dial_missing()
 
     # Dialling
@@ -336,26 +342,28 @@
 
     async def _dial(self, name: str) -> None:
         """Try until there is a link, whoever dialled it."""
-        wait_s, said_s, tries = FIRST_WAIT_S, 0.0, 0
-        began_s = time.monotonic()
         if name < self.configured.identity.name:
             await asyncio.sleep(COURTESY_S)
         while name in self._wanted() and name not in self.links and not self._stopping:
-            why = await self._try(name)
-            if why is None or name in self.links:
-                return
-            tries += 1
-            now_s = time.monotonic()
-            if tries >= 3 and now_s - said_s >= SAID_AGAIN_S:
-                said_s = now_s
-                error = PeerUnreachable(f"{name} at {self.configured.addresses.get(name)}: {why}")
-                log.warning("peer_unreachable", extra={"peer": name, "tries": tries, "why": str(error)})
-            await asyncio.sleep(wait_s * (0.1 + 0.9 * self.rng.random()))
-            wait_s = min(2 * wait_s, LONGEST_WAIT_S)
-        log.debug("dialled", extra={"peer": name, "seconds": time.monotonic() - began_s})
+            if tries := self._tries.get(name, 0):
+                longest_s = min(FIRST_WAIT_S * 2.0 ** (tries - 1), LONGEST_WAIT_S)
+                await asyncio.sleep(longest_s * (0.1 + 0.9 * self.rng.random()))
+                if name in self.links:
+                    return
+            self._tries[name] = min(tries + 1, MOST_TRIES)
+            if why := await self._try(name):
+                self._tell_unreachable(name, why)
+
+    def _tell_unreachable(self, name: str, why: str) -> None:
+        """At the third failure in a row, and then once a minute."""
+        now_s = time.monotonic()
+        if self._tries[name] >= 3 and now_s - self._said_s.get(name, -SAID_AGAIN_S) >= SAID_AGAIN_S:
+            self._said_s[name] = now_s
+            error = PeerUnreachable(f"{name} at {self.configured.addresses.get(name)}: {why}")
+            log.warning("peer_unreachable", extra={"peer": name, "why": str(error)})
 
     async def _try(self, name: str) -> str | None:
-        """Dial once; returns why there is no link, or None once one that was seated has ended."""
+        """Dial once, and stay while the link does or another is there; why there was none, or None."""
         assert self._client
         address = self.configured.addresses.get(name)
         if address is None:
@@ -367,14 +375,9 @@
                 )
         except (OSError, aiohttp.ClientError, TimeoutError) as e:
             return f"{type(e).__name__} {e}".strip()
-        running = self.supervisor.spawn(self._run_dialled(socket, address), f"link {name}")
-        # Go on with dialling only once it is seated or ended.
-        while not running.done() and name not in self.links:
-            await asyncio.wait([running], timeout=0.02)
-        return None if name in self.links else "the link ended before it was greeted"
-
-    async def _run_dialled(self, socket: aiohttp.ClientWebSocketResponse, address: str) -> None:
-        await self._run(socket, address, dialled=True)
+        began_us = mono_us()
+        why = await self._run(socket, address, dialled=True)
+        return None if mono_us() - began_us > LASTING_US else why
 
     # Time
 
@@ -394,6 +397,8 @@
             for link in list(self.links.values()):
                 if now_us - link.session.heard_us > dead_us:
                     link.end("silent")
+                elif now_us - link.opened_us > LASTING_US:
+                    self._tries.pop(link.name, None)
             for link in list(self.fresh):
                 if now_us - link.opened_us > HELLO_S * 1e6:
                     link.end("no greeting")
--- a/robinhill/net/sharing.py
+++ b/robinhill/net/sharing.py
@@ -95,7 +95,7 @@
         inbound.behind = True
         decider.may_send = self.cordons.may_send
         if options.on_lost == "hold":
-            decider.lease = self.cordons.lease
+            decider.lease, decider.vouched = self.cordons.lease, False
         decider.list_changed = lambda: self.cordons.tell(ListChanged())
         extra = {"as": self.name, "installation": options.installation, "schedulers": len(names)}
         log.info("sharing", extra=extra | {"bound_ms": options.bound_ms, "on_lost": options.on_lost})
--- a/tests/test_mesh_processes.py
+++ b/tests/test_mesh_processes.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import json
+import signal
+import subprocess
+import sys
 import tempfile
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -83,7 +86,9 @@
                         await program.process.wait()
 
 
-async def cordon(program: Program, cordon_id: str = "c1", wait: str = "?wait=5", **body: Any) -> tuple[int, Json]:
+async def cordon(
+    program: Program, cordon_id: str = "c1", wait: str = "?wait=5", **body: Any
+) -> tuple[int, Json]:
     asked = {"target": "worker/w0", "reason": "a fan is loud", "by": "ann"} | body
     status, text = await program.call("PUT", f"/ops/cordons/{cordon_id}{wait}", json.dumps(asked))
     return status, json.loads(text)
@@ -96,10 +101,10 @@
     return told
 
 
-async def until(program: Program, text: str) -> None:
-    """Until a line of its log holds this."""
+async def until(program: Program, text: str, times: int = 1) -> None:
+    """Until so many lines of its log hold this."""
     async with asyncio.timeout(10):
-        while text not in program.log.read_text():
+        while program.log.read_text().count(text) < times:
             await asyncio.sleep(0.02)
 
 
@@ -118,3 +123,121 @@
             assert "w0" in await here.ask("s1", 30)
 
     asyncio.run(play())
+
+
+def test_who_starts_empty_is_ready_only_with_what_the_others_know() -> None:
+    async def play() -> None:
+        async with fleet("s1", "s2", "s3", folder=False) as here:
+            assert (await cordon(here.programs["s1"]))[0] == 200
+            here.programs["s3"].process.kill()  # type: ignore[union-attr]
+            await here.programs["s3"].process.wait()  # type: ignore[union-attr]
+            three = await here.start("s3")
+            await until(three, "event=caught_up")
+            assert await here.ask("s3", 12) == {"w1", "w2"}
+            status, text = await three.call("DELETE", "/ops/cordons/c1?wait=5")
+            assert status == 200 and json.loads(text)["in_force"]
+
+    asyncio.run(play())
+
+
+def test_alone_it_serves_once_the_time_to_catch_up_is_over_and_remembers_its_own() -> None:
+    async def play() -> None:
+        async with fleet("s1", "s2", catch_up_ms=600) as here:
+            one, two = here.programs["s1"], here.programs["s2"]
+            assert (await cordon(one))[0] == 200
+            for program in (one, two):
+                assert await program.stop() == 0
+            folder = two.folder
+            again = Program(
+                folder, here.site, here.discovery, here.operator("s2"), listen=two.listen, ops=two.ops
+            )
+            here.programs["s2"] = again
+            await again.start()
+            assert (await again.call("GET", "/ops/readiness"))[0] == 503
+            await until(again, "event=not_caught_up")
+            assert (await again.call("GET", "/ops/readiness"))[0] == 200
+            assert "event=recalled" in again.log.read_text()
+            assert await here.ask("s2", 12) == {"w1", "w2"}
+            (folder / "mesh.state").write_bytes(b"torn")
+            assert await again.stop() == 0
+
+    asyncio.run(play())
+
+
+def test_under_hold_nothing_is_sent_by_who_can_not_know_and_the_bound_stands() -> None:
+    """A stopped majority: the one that is left holds, says so, and serves again once they are back."""
+
+    async def play() -> None:
+        async with fleet("s1", "s2", "s3", on_lost="hold") as here:
+            one = here.programs["s1"]
+            others = [here.programs["s2"], here.programs["s3"]]
+            assert await here.ask("s1", 6)
+            assert (await cordon(one))[0] == 200
+            for program in others:
+                program.signal(signal.SIGSTOP)
+            await until(one, "event=lease_lost")
+            assert await here.ask("s1", 2) == set()
+            assert self_status(await one.call("GET", "/ops/mesh"))["lease"] is False
+            status, told = await cordon(one, "c2", "?wait=0.2", target="worker/w1")
+            assert status == 504 and told["type"] == "NotAccepted" and told["advice"]
+            for program in others:
+                program.signal(signal.SIGCONT)
+            await until(one, "event=lease_held", 2)
+            assert await here.ask("s1", 6) == {"w2"}
+            # One that is stopped has no lease: the rest need not wait for it longer than the bound.
+            others[0].signal(signal.SIGSTOP)
+            status, told = await cordon(others[1], "c3", "?wait=8", target="worker/w2")
+            assert status == 200 and told["in_force"] and told["ms"] > 900
+            others[0].signal(signal.SIGCONT)
+
+    asyncio.run(play())
+
+
+def test_under_serve_who_has_not_confirmed_is_named() -> None:
+    async def play() -> None:
+        async with fleet("s1", "s2", "s3") as here:
+            here.programs["s2"].signal(signal.SIGSTOP)
+            status, told = await cordon(here.programs["s1"], wait="?wait=0.3")
+            assert (status, told["type"]) == (504, "BoundNotMet")
+            assert [u["scheduler"] for u in told["unconfirmed"]] == ["s2"]
+            (shown,) = (await listed(here.programs["s3"]))["cordons"]
+            assert shown["behind"] == ["s2"]
+            here.programs["s2"].signal(signal.SIGCONT)
+            assert (await cordon(here.programs["s1"]))[0] == 200
+
+    asyncio.run(play())
+
+
+def test_a_reload_takes_in_another_scheduler_and_strangers_are_refused() -> None:
+    async def play() -> None:
+        async with fleet("s1", "s2") as here:
+            old = dict(here.peers)
+            here.peers["s3"] = free_address()
+            three = await here.start("s3")
+            await until(here.programs["s1"], "event=peer_refused")
+            await until(three, "no peer by our file")
+            for name in old:
+                here.programs[name].reload(here.operator(name))
+            for name in old:
+                await until(here.programs[name], "event=list_settled")
+            await until(three, "event=caught_up")
+            status, told = await cordon(three, wait="?wait=5")
+            assert status == 200 and told["in_force"]
+            assert await here.ask("s1", 8) == {"w1", "w2"}
+
+    asyncio.run(play())
+
+
+def self_status(answer: tuple[int, str]) -> Json:
+    told: Json = json.loads(answer[1])
+    return told
+
+
+def test_nothing_of_it_is_loaded_where_no_peers_are_named() -> None:
+    code = (
+        "import sys, robinhill.commands.run\n"
+        "print([m for m in sys.modules if m.startswith(('robinhill.mesh', 'robinhill.cordon'))"
+        " or m in ('robinhill.net.sharing', 'robinhill.net.peers', 'robinhill.net.cordons')])"
+    )
+    told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    assert told.strip() == "['robinhill.mesh', 'robinhill.mesh.options']"
--- a/tests/test_mesh_session.py
+++ b/tests/test_mesh_session.py
@@ -142,7 +142,9 @@
     near.run(2 * S)
     near.write(0, "late", 1)
     replica = near.sides[1].replica
-    near.sides[1].session = Session(Identity("test", "b", 1, ("a", "b")), replica, Freshness("b", "ab", S), False, S)
+    near.sides[1].session = Session(
+        Identity("test", "b", 1, ("a", "b")), replica, Freshness("b", "ab", S), False, S
+    )
     near.sides[0].session = Session(
         Identity("test", "a", 1, ("a", "b")), near.sides[0].replica, Freshness("a", "ab", S), True, S
     )
