--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -19,6 +19,7 @@
 
 from robinhill import api
 from robinhill.door.options import DoorOptions
+from robinhill.mesh.options import MeshOptions
 from robinhill.net import messages
 from robinhill.net.logs import LogOptions
 from robinhill.record.options import RecordOptions
@@ -68,6 +69,7 @@
     log: LogOptions = LogOptions()
     door: DoorOptions = DoorOptions()
     record: RecordOptions = RecordOptions()
+    mesh: MeshOptions = MeshOptions()
 
 
 @dataclass(slots=True, frozen=True)
@@ -89,6 +91,7 @@
     machine_types: tuple[str, ...]
     tenants: tuple[str, ...] = ()
     operator: OperatorFile | None = None  # None: no such file is named
+    clock_offset_us: int = 0  # the host's clock is taken to be wrong by so much, in tests
 
     def client_sockets(self, processes: int = 1) -> int:
         """Connections that clients and call-backs may have: half of the descriptors that are not our own.
@@ -132,6 +135,7 @@
         machine_types=_names(options.get("shapes", []), "settings.shapes"),
         tenants=tuple(_text(t.get("name"), "settings.tenants") for t in options.get("tenants", [])),
         operator=_operator(env),
+        clock_offset_us=_offset(env.get("ROBINHILL_CLOCK_OFFSET_US")),
     )
 
 
@@ -185,6 +189,13 @@
     return Address(host.strip("[]"), int(port))
 
 
+def _offset(text: str | None) -> int:
+    try:
+        return int(text or "0")
+    except ValueError:
+        raise ConfigError("ROBINHILL_CLOCK_OFFSET_US", f"must be microseconds, is {text!r}") from None
+
+
 def _socket_fd(text: str | None) -> int | None:
     """A descriptor that we have inherited, if it is a listening socket."""
     if not text:
--- a/robinhill/net/operators.py
+++ b/robinhill/net/operators.py
@@ -12,6 +12,8 @@
 from robinhill.net.messages import Answer
 
 MAX_CALL = 1024  # an id, with room for blanks round it
+MAX_CORDON_CALL = 4096  # a target, a reason and who asks, in JSON
+CORDONS = "/ops/cordons"
 
 
 @dataclass(slots=True, frozen=True)
@@ -23,6 +25,10 @@
     door: Callable[[], Answer]
     hold_out: Callable[[str, bool], Awaitable[Answer]]
     drain: Callable[[bool], Awaitable[Answer]]
+    # Where schedulers share: a call's method, the cordon's id ("": all), body, and for how long it waits.
+    cordons: Callable[[str, str, bytes, str | None], Awaitable[Answer]] | None = None
+    mesh: Callable[[], Answer] | None = None
+    vouch: Callable[[], Answer] | None = None
 
 
 class Operators:
@@ -31,7 +37,8 @@
     def __init__(self, address: Address, budget: int, supervisor: Supervisor, calls: Calls) -> None:
         self.address = address
         self.calls = calls
-        self.listener = Listener(self._handle, budget, supervisor, MAX_CALL)
+        most = MAX_CORDON_CALL if calls.cordons else MAX_CALL
+        self.listener = Listener(self._handle, budget, supervisor, most)
         self._routes: dict[str, tuple[str, Callable[[bytes], Awaitable[Answer]]]] = {
             "/ops/readiness": ("GET", self._readiness),
             "/ops/stats": ("GET", self._stats),
@@ -41,6 +48,10 @@
             "/ops/drain/start": ("PUT", lambda body: calls.drain(True)),
             "/ops/drain/stop": ("PUT", lambda body: calls.drain(False)),
         }
+        if calls.mesh and calls.vouch:
+            mesh, vouch = calls.mesh, calls.vouch
+            self._routes["/ops/mesh"] = ("GET", lambda body: _at_once(mesh()))
+            self._routes["/ops/mesh/vouch"] = ("PUT", lambda body: _at_once(vouch()))
 
     def start(self) -> None:
         self.listener.listen(bind(self.address, "GW_OPS"))
@@ -51,6 +62,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         path = request.rel_url.raw_path
+        if self.calls.cordons and (path == CORDONS or path.startswith(CORDONS + "/")):
+            return await self._cordons(request, self.calls.cordons)
         if (route := self._routes.get(path)) is None:
             return reject(request, 404, "no such call")
         method, call = route
@@ -59,12 +72,30 @@
             response.headers["Allow"] = method
             return response
         body = await request.read()
+        if len(body) > MAX_CALL:
+            return reject(request, 413, f"a body holds at most {MAX_CALL} bytes")
         connection_of(request).claim(useful=True)
         answer = await call(body)
         response = web.Response(status=answer.status, body=answer.body)
         response.force_close()
         return response
 
+    async def _cordons(
+        self, request: web.BaseRequest, call: Callable[[str, str, bytes, str | None], Awaitable[Answer]]
+    ) -> web.StreamResponse:
+        cordon_id = request.rel_url.path.removeprefix(CORDONS).removeprefix("/")
+        methods = ("GET", "PUT", "DELETE") if cordon_id else ("GET",)
+        if request.method not in methods:
+            response: web.StreamResponse = reject(request, 405, f"the methods are {', '.join(methods)}")
+            response.headers["Allow"] = ", ".join(methods)
+            return response
+        body = await request.read()
+        connection_of(request).claim(useful=True)
+        answer = await call(request.method, cordon_id, body, request.rel_url.query.get("wait"))
+        response = web.Response(status=answer.status, body=answer.body, content_type="application/json")
+        response.force_close()
+        return response
+
     async def _readiness(self, body: bytes) -> Answer:
         return self.calls.readiness()
 
@@ -76,3 +107,7 @@
 
     async def _worker(self, body: bytes, out: bool) -> Answer:
         return await self.calls.hold_out(messages.read_instance_id(body), out)
+
+
+async def _at_once(answer: Answer) -> Answer:
+    return answer
