--- a/robinhill/witness/mesh.py
+++ b/robinhill/witness/mesh.py
@@ -22,6 +22,7 @@
     holds: bool  # without a majority in touch nothing is sent; else it goes on, and promises less
     equal_s: float = 2.0  # from the last heal to equal copies
     back_s: float = 2.0  # that links have to come up again after a fault, before `serve` promises anything
+    late_s: float = 0.0  # by how much what is noted may be late, as the rig's own machine was busy
     grace_s: float = 0.05  # from a scheduler's write to a worker's note of it
 
 
@@ -42,7 +43,7 @@
     """What broke a rule, in words: those of one scheduler, and those of several."""
     events = sorted(journal.events, key=lambda e: e.at)
     kinds = set(unsafe)
-    found = rules.broken(journal, kinds, ended=ended)
+    found = rules.broken(journal, kinds, ended=ended, late_s=terms.late_s)
     found += once(events, kinds)
     found += late_sends(events, terms)
     found += lists(events, terms)
@@ -123,8 +124,8 @@
                 sound = max(health.since(event.scheduler), health.since(its.by)) + terms.back_s
             past = event.at - max(its.since, sound) - terms.bound_s
             said = event.at - max(its.in_force, sound) if its.in_force is not None else -inf
-            if max(past, said) > terms.grace_s:
-                late = past > terms.grace_s
+            if max(past, said) > terms.grace_s + terms.late_s:
+                late = past > terms.grace_s + terms.late_s
                 why = f"{past:.3f} s past the bound" if late else f"{said:.3f} s after it was in force"
                 sent = f"{event.worker} got {event.request} from {event.scheduler}"
                 found.append(f"{sent}, cordoned by {id_}: {why}")
--- a/robinhill/witness/rules.py
+++ b/robinhill/witness/rules.py
@@ -9,8 +9,10 @@
 REFUSALS = (429, 503)
 
 
-def broken(journal: Journal, unsafe: Iterable[str], *, ended: bool = True) -> list[str]:
-    """What broke a rule, in words. ``unsafe``: classes that may not run twice; ``ended``: all is answered."""
+def broken(journal: Journal, unsafe: Iterable[str], *, ended: bool = True, late_s: float = 0.0) -> list[str]:
+    """What broke a rule, in words. ``unsafe``: classes that may not run twice; ``ended``: all is answered;
+    ``late_s``: by how much workers may have been late in noting that they were called off.
+    """
     events = sorted(journal.events, key=lambda e: e.at)
     by_request: dict[str, list[Event]] = defaultdict(list)
     for event in events:
@@ -20,7 +22,7 @@
     kinds = set(unsafe)
     for request, its in by_request.items():
         found += _answers(request, its, ended)
-        found += _attempts(request, its, kinds)
+        found += _attempts(request, its, kinds, late_s)
     found += _drains(events)
     found += [f"{e.worker} was pushed over" for e in events if e.what is What.FELL and e.status != NOBODYS]
     return found
@@ -40,7 +42,7 @@
     return found
 
 
-def _attempts(request: str, its: list[Event], unsafe: set[str]) -> list[str]:
+def _attempts(request: str, its: list[Event], unsafe: set[str], late_s: float) -> list[str]:
     """Never two attempts at once; an unsafe one that may have run is neither sent again nor refused."""
     found = []
     out: set[str] = set()  # workers that have it and have not given it up
@@ -48,7 +50,7 @@
     kind = next((e.kind for e in its if e.kind), "")
     for event in its:
         if event.what is What.SENT:
-            if out:
+            if out and not out <= _freed(its, event.at, late_s):
                 found.append(f"{request} was at {event.worker} while at {', '.join(sorted(out))}")
             if kind in unsafe and may_have_run:
                 found.append(f"{request} ({kind}) was sent again though it may have run")
@@ -64,6 +66,12 @@
     return found
 
 
+def _freed(its: list[Event], at: float, late_s: float) -> set[str]:
+    """Workers that noted soon after a moment that they had given it up."""
+    over = (What.CALLED_OFF, What.ENDED, What.RETURNED)
+    return {e.worker for e in its if e.what in over and at <= e.at <= at + late_s} if late_s else set()
+
+
 def _drains(events: list[Event]) -> list[str]:
     """Nothing new to a worker later than the grace after discovery has told that it leaves."""
     leaving: dict[str, float] = {}
--- a/tests/test_witness_mesh.py
+++ b/tests/test_witness_mesh.py
@@ -103,3 +103,10 @@
     assert not broken(journal(twice, same), HOLD, ["renewal"])
     (both,) = broken(journal([(1.0, W.SENT, "j-0", "v", "", "a")], send(1.5), same), HOLD, [])
     assert "j-0 was at w while at v" in both
+
+
+def test_a_worker_that_noted_late_that_it_was_called_off_is_no_second_attempt() -> None:
+    events = [(1.0, W.SENT, "j-0", "v", "", "a"), *send(1.5), (1.7, W.CALLED_OFF, "j-0", "v", "", "")]
+    same = digests(0.5, a="x", b="x")
+    assert "while at v" in broken(journal(events, same), Terms(0.5, holds=True, late_s=0.1), [])[0]
+    assert not broken(journal(events, same), Terms(0.5, holds=True, late_s=0.3), [])
