--- a/tests/test_mesh_rig.py
+++ b/tests/test_mesh_rig.py
@@ -19,7 +19,7 @@
 )
 HOLD, SERVE = "hold", "serve"
 NAMED: dict[str, tuple[str, list[tuple[float, float, Trouble, tuple[str, ...], float]]]] = {
-    "one is cut off for longer than the bound": (HOLD, [(0.3, 1.9, T.PARTITION, ("n3",), 0)]),
+    "one is cut off for longer than the bound": (HOLD, [(0.3, 2.8, T.PARTITION, ("n3",), 0)]),
     "one is cut off, and all go on": (SERVE, [(0.3, 1.9, T.PARTITION, ("n3",), 0)]),
     "all are cut off": (HOLD, [(0.3, 1.2, T.PARTITION, ("n3",), 0), (0.3, 1.2, T.STALL, ("n1", "n2"), 0)]),
     "one sleeps for longer than the bound": (HOLD, [(0.05, 1.9, T.PAUSE, ("n3",), 0)]),
