--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import random
 import shutil
 import statistics
@@ -110,6 +111,7 @@
 async def _trial(it: Rig, number: int, rng: random.Random) -> Json:
     """One cordon: milliseconds from its call to the last send to the worker, and to the answers."""
     name, worker, id_ = it.names[number % len(it.names)], rng.choice(sorted(it.workers)), f"t{number}"
+    await _used_by_all(it, worker)
     begun = time.monotonic()
     told = await it.cordon(name, worker, id_, WAIT_S)
     answered = time.monotonic() - begun
@@ -128,6 +130,19 @@
     return {"last_ms": last_ms, "answer_ms": answered * 1000, "in_force": in_force, "back_ms": back_ms}
 
 
+async def _used_by_all(it: Rig, worker: str) -> None:
+    """Until each scheduler has sent to it: a worker comes back gently, and few sends are none to stop."""
+    first = len(it.journal.events)
+
+    def used() -> bool:
+        its = it.journal.events[first:]
+        return {e.scheduler for e in its if e.what is What.SENT and e.worker == worker} >= set(it.names)
+
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(WAIT_S):
+            await it.journal.until(used)
+
+
 def _cordons(lines: Iterable[Json]) -> None:
     for line in lines:
         last = [t["last_ms"] for t in line["trials"]]
