--- a/robinhill/commands/__init__.py
+++ b/robinhill/commands/__init__.py
@@ -156,6 +156,69 @@
     context.exit(commands.guarded(commands.compare_sides, *(options[name] for name in names)))
 
 
+@cli.group()
+def cordon() -> None:
+    """Workers that get nothing new at any scheduler."""
+
+
+_ops = click.option("--ops", envvar="GW_OPS", required=True, help="host:port for operators [GW_OPS]")
+_wait = click.option(
+    "--wait", "wait_s", default=None, type=click.FloatRange(0, 600), help="seconds until it must be in force"
+)
+
+
+@cordon.command("set")
+@click.argument("cordon_id", metavar="ID")
+@click.argument("target")
+@click.option("--reason", required=True)
+@click.option("--by", default=None, help="who asks; default: the user's name")
+@click.option("--for", "for_s", default=None, type=click.FloatRange(min=0, min_open=True), help="seconds")
+@_wait
+@_ops
+@click.pass_context
+def set_cordon(context: click.Context, /, **options: Any) -> None:
+    """Cordon a TARGET (worker/ID, zone/NAME, kind/NAME or cell/NUMBER) under an ID of your choice."""
+    from robinhill.commands import cordons
+
+    names = ("ops", "cordon_id", "target", "reason", "by", "for_s", "wait_s")
+    context.exit(cordons.guarded(cordons.set_, *(options[name] for name in names)))
+
+
+@cordon.command("lift")
+@click.argument("cordon_id", metavar="ID")
+@_wait
+@_ops
+@click.pass_context
+def lift_cordon(context: click.Context, cordon_id: str, wait_s: float | None, ops: str) -> None:
+    """Lift a cordon: other reasons for the same workers stay in force."""
+    from robinhill.commands import cordons
+
+    context.exit(cordons.guarded(cordons.lift, ops, cordon_id, wait_s))
+
+
+@cordon.command("list")
+@click.option("--json", "as_json", is_flag=True)
+@_ops
+@click.pass_context
+def list_cordons(context: click.Context, as_json: bool, ops: str) -> None:
+    """List what is cordoned, why, and which schedulers have not confirmed."""
+    from robinhill.commands import cordons
+
+    context.exit(cordons.guarded(cordons.list_, ops, as_json))
+
+
+@cordon.command("wait")
+@click.argument("cordon_id", metavar="ID")
+@click.option("--for", "wait_s", default=10.0, show_default=True, type=click.FloatRange(0, 600))
+@_ops
+@click.pass_context
+def wait_cordon(context: click.Context, cordon_id: str, wait_s: float, ops: str) -> None:
+    """Wait until every scheduler goes by a cordon."""
+    from robinhill.commands import cordons
+
+    context.exit(cordons.guarded(cordons.wait, ops, cordon_id, wait_s))
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """The exit code: 0 after a drain, 1 after an actor's death, 2 for a faulty configuration or command."""
     try:
--- a/tests/test_mesh_processes.py
+++ b/tests/test_mesh_processes.py
@@ -12,7 +12,9 @@
 from typing import Any
 
 import aiohttp
+import pytest
 
+from robinhill.commands import main
 from robinhill.standin.discovery import Discovery
 from robinhill.standin.program import Program
 from robinhill.standin.site import JobKind, Site, free_address
@@ -241,3 +243,27 @@
     )
     told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert told.strip() == "['robinhill.mesh', 'robinhill.mesh.options']"
+
+
+def test_the_command_line_sets_lists_waits_and_lifts(capsys: pytest.CaptureFixture[str]) -> None:
+    async def play() -> None:
+        async with fleet("s1", "s2") as here:
+            one, two = (here.programs[name].ops for name in ("s1", "s2"))
+
+            async def run(*words: str, code: int = 0) -> str:
+                assert await asyncio.to_thread(main, ["cordon", *words]) == code
+                told = capsys.readouterr()
+                return told.out + told.err
+
+            assert "nothing is cordoned" in await run("list", "--ops", one)
+            told = await run("set", "c1", "zone/north", "--reason", "flood", "--wait", "5", "--ops", one)
+            assert "in force" in told and "no worker is left" in told
+            assert "c1 is in force" in await run("wait", "c1", "--ops", two)
+            assert "flood" in await run("list", "--ops", two)
+            assert "for 'worker/w0'" in await run(
+                "set", "c1", "worker/w0", "--reason", "x", "--ops", two, code=1
+            )
+            assert "in force" in await run("lift", "c1", "--wait", "5", "--ops", two)
+            assert "no cordon is called 'c1'" in await run("lift", "c1", "--ops", one, code=1)
+
+    asyncio.run(play())
