--- a/robinhill/mesh/members.py
+++ b/robinhill/mesh/members.py
@@ -22,6 +22,7 @@
 """
 
 import enum
+import heapq
 import math
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -36,6 +37,10 @@
 """Accusers remembered for a suspect; `Options.accusers` of them already shorten its time as far as it
 goes."""
 
+COUNT_AT_MOST = 1 << 60
+"""Refutations in one start at most, so that a damaged word cannot bring the count past what MessagePack
+holds."""
+
 OUTSTANDING_AT_MOST = 64
 """Checks, own and for others, that wait for an answer. Only a flood from a peer gets there; more are not
 taken on."""
@@ -171,13 +176,18 @@
     answer_us: int = 400_000
     """For a direct answer: twice 100 ms of delay, and as much again for a busy process."""
 
-    through_us: int = 1_000_000
-    """For an answer through others, after that: four such ways."""
+    through_us: int = 600_000
+    """For an answer through others, after that: four ways of 100 ms, and half as much again."""
 
     through: int = 3
     """Others that are asked: where one message in five is lost, all three fail to bring word of a live peer
     in one case of five, after one direct check of three has failed."""
 
+    attempts: int = 3
+    """How often that is done before a peer is suspect. At such a loss one attempt in 14 fails, and with 200
+    members 14 suspicions a second would be more than word of mouth can carry and refute: all were gone in the
+    simulation. Three in a row fail once in 2,500."""
+
     suspicion_periods: float = 5.0
     """How long a suspect may refute, in periods, times the logarithm to base 10 of the members, as word takes
     as many rounds to reach all: 10 s at 100. Counts if one alone accuses."""
@@ -188,11 +198,12 @@
     accusers: int = 3
     """How many others that takes: more see a real crash within two periods."""
 
-    told_times: float = 3.0
-    """How often each rumour is passed on, times the logarithm to base 2 of the members: at 3 the share that
-    misses one is far below one in 10,000, also where a fifth of the messages is lost."""
+    told_times: float = 1.5
+    """How often each rumour is passed on, times the logarithm to base 2 of the members: 12 times at 200,
+    which leaves out fewer than one in 1,000 also where a fifth of the messages is lost. Those hear of it by
+    later checks."""
 
-    rumours: int = 12
+    rumours: int = 24
     """Rumours in one message: below 1 KB, so that a message fits one packet."""
 
     gone_every: int = 5
@@ -223,6 +234,7 @@
     target: str
     direct_us: int  # until when a direct answer is waited for
     until_us: int
+    attempt: int = 1
     sought: bool = False  # whether others were asked
     asker: str = ""  # for whom
     asker_number: int = 0
@@ -255,7 +267,8 @@
         self._through = through
         self._members: dict[str, _Member] = {}
         self.addresses: dict[str, str] = {}
-        self._rumours: dict[str, list[int]] = {}  # whose state is passed on: how often it was
+        self._suspects: dict[str, None] = {}  # in the order in which they became so
+        self._rumours: dict[str, int] = {}  # whose state is passed on: how often it was
         self._round: list[str] = []  # whom to check next, last first
         self._gone_round: list[str] = []
         self._outstanding: dict[int, _Outstanding] = {}
@@ -265,7 +278,7 @@
         self._next_us = 0
         self._acts: list[Act] = []
         self.reload(peers)
-        self._rumours[me] = [0]
+        self._rumours[me] = 0
 
     # What the caller asks.
 
@@ -308,10 +321,10 @@
         self._rumours = {
             name: told for name, told in self._rumours.items() if name in self._members or name == self.me
         }
-        for number in [
-            number for number, one in self._outstanding.items() if one.target not in self._members
-        ]:
-            del self._outstanding[number]
+        self._suspects = {name: None for name in self._suspects if name in self._members}
+        for number, one in list(self._outstanding.items()):
+            if one.target not in self._members:
+                del self._outstanding[number]
         self._rng.shuffle(new)
         self._round = [name for name in self._round if name in self._members] + new
         self._gone_round = [name for name in self._gone_round if name in self._members]
@@ -325,8 +338,9 @@
         """Time goes on; about ten times a second. Returns what to do, a pause first."""
         self._notice(mono_us)
         self._overdue(mono_us)
-        for name, member in self._members.items():
-            if member.state is MemberState.SUSPECT and mono_us >= self._suspect_until(member):
+        for name in list(self._suspects):
+            member = self._members[name]
+            if mono_us >= self._suspect_until(member):
                 self._change(name, member, MemberState.GONE)
         if mono_us >= self._next_us:
             # A tick that came late must not be followed by checks in a bunch.
@@ -352,7 +366,7 @@
             ):
                 until_us = mono_us + self.options.through_us
                 self._send_check(
-                    _Outstanding(message.target, until_us, until_us, True, sender, message.number)
+                    _Outstanding(message.target, until_us, until_us, 1, True, sender, message.number)
                 )
             case Checked():
                 self._checked(mono_us, message)
@@ -385,9 +399,14 @@
     def leave(self) -> Word:
         """We end in order: the word to write to all partners, as often as links allow."""
         self.leaving = True
-        self._rumours[self.me] = [0]
+        self._rumours[self.me] = 0
         return self.word()
 
+    @property
+    def has_news(self) -> bool:
+        """Whether there are rumours to pass on."""
+        return bool(self._rumours)
+
     def word(self) -> Word:
         """Rumours alone, for a partner; without any if there is nothing to tell."""
         return Word(self.me, self.incarnation, self.gossip())
@@ -397,13 +416,12 @@
 
         ``first``: the peer that it goes to, which is always told what is thought of it unless that is good.
         """
-        chosen = sorted(self._rumours, key=lambda name: (self._rumours[name][0], name))[
-            : self.options.rumours
-        ]
+        chosen = heapq.nsmallest(
+            self.options.rumours, self._rumours, key=lambda name: (self._rumours[name], name)
+        )
         for name in chosen:
-            told = self._rumours[name]
-            told[0] += 1
-            if told[0] >= self._told_at_most:
+            self._rumours[name] += 1
+            if self._rumours[name] >= self._told_at_most:
                 del self._rumours[name]
         member = self._members.get(first) if first is not None else None
         if (
@@ -423,13 +441,9 @@
     def take_gossip(self, mono_us: int, rumours: Iterable[Rumour]) -> None:
         """What others say. The acts that follow come with the next `tick` or `handle`."""
         for rumour in rumours:
-            if rumour.name == self.me:
+            if rumour.name == self.me and self._sane(rumour):
                 self._of_me(rumour)
-            elif (
-                rumour.name in self._members
-                and 0 <= rumour.state <= MemberState.LEFT
-                and rumour.incarnation > 0
-            ):
+            elif rumour.name in self._members and self._sane(rumour):
                 self._of_other(mono_us, rumour)
 
     # Rumours.
@@ -445,6 +459,10 @@
             by = self._rng.choice(member.accusers) if member.accusers else self.me
         return Rumour(name, member.state, member.incarnation, member.count, by)
 
+    def _sane(self, rumour: Rumour) -> bool:
+        states = MemberState.ALIVE <= rumour.state <= MemberState.LEFT
+        return states and rumour.incarnation > 0 and 0 <= rumour.count < COUNT_AT_MOST
+
     def _of_me(self, rumour: Rumour) -> None:
         if rumour.incarnation > self.incarnation:
             self._acts.append(Impostor(rumour.incarnation))
@@ -454,11 +472,18 @@
         if rumour.state != MemberState.ALIVE or rumour.count > self.count:
             # A larger count than ours that is well meant cannot be; taking it over keeps us able to refute.
             self.count = rumour.count + (rumour.state != MemberState.ALIVE)
-            self._rumours[self.me] = [0]
+            self._rumours[self.me] = 0
 
     def _of_other(self, mono_us: int, rumour: Rumour) -> None:
         member = self._members[rumour.name]
         state = MemberState(rumour.state)
+        if (
+            state is MemberState.GONE
+            and member.heard_us is not None
+            and rumour.incarnation == member.incarnation
+        ):
+            if mono_us - member.heard_us < self.options.silent_us:
+                state = MemberState.SUSPECT  # it spoke to us just now: let it hear of this, and refute
         known, told = (member.incarnation, member.count), (rumour.incarnation, rumour.count)
         if told == known and state is MemberState.SUSPECT is member.state:
             self._accuse(rumour.name, member, rumour.by)
@@ -477,16 +502,19 @@
         if by and by not in member.accusers and len(member.accusers) < ACCUSERS_AT_MOST:
             member.accusers.append(by)
             if len(member.accusers) <= self.options.accusers + 1:
-                self._rumours[name] = [0]
+                self._rumours[name] = 0
 
     def _change(self, name: str, member: _Member, state: MemberState) -> None:
         """A new state, or a new count of the same one: passed on either way, told if the state is new."""
         if member.state is not state:
             member.state = state
             self._acts.append(Became(name, state))
-        if state is not MemberState.SUSPECT:
+        if state is MemberState.SUSPECT:
+            self._suspects[name] = None
+        else:
+            self._suspects.pop(name, None)
             member.accusers = []
-        self._rumours[name] = [0]
+        self._rumours[name] = 0
 
     # Signs of life.
 
@@ -535,10 +563,10 @@
             self._rng.shuffle(order)
         return None
 
-    def _check(self, mono_us: int, peer: str) -> None:
+    def _check(self, mono_us: int, peer: str, attempt: int = 1) -> None:
         if len(self._outstanding) < OUTSTANDING_AT_MOST:
             direct_us = mono_us + self.options.answer_us
-            self._send_check(_Outstanding(peer, direct_us, direct_us + self.options.through_us))
+            self._send_check(_Outstanding(peer, direct_us, direct_us + self.options.through_us, attempt))
 
     def _send_check(self, check: _Outstanding) -> None:
         self._number += 1
@@ -557,7 +585,7 @@
             if mono_us >= check.until_us:
                 del self._outstanding[number]
                 if not check.asker:
-                    self._unanswered(mono_us, check.target, member)
+                    self._unanswered(mono_us, check, member)
 
     def _seek(self, target: str, number: int) -> None:
         near = list(self._through(target)) if self._through is not None else []
@@ -573,10 +601,13 @@
             message = CheckFor(self.me, self.incarnation, number, target, self.gossip(via))
             self._acts.append(CheckThrough(target, via, message))
 
-    def _unanswered(self, mono_us: int, peer: str, member: _Member) -> None:
+    def _unanswered(self, mono_us: int, check: _Outstanding, member: _Member) -> None:
+        peer = check.target
         if member.heard_us is not None and mono_us - member.heard_us < self.options.silent_us:
             return  # its link shows that it lives
-        if member.state is MemberState.ALIVE:
+        if member.state <= MemberState.SUSPECT and check.attempt < self.options.attempts:
+            self._check(mono_us, peer, check.attempt + 1)
+        elif member.state is MemberState.ALIVE:
             member.suspect_us = mono_us
             member.accusers = [self.me]
             self._change(peer, member, MemberState.SUSPECT)
