--- a/benchmarks/mesh_explorer.py
+++ b/benchmarks/mesh_explorer.py
@@ -35,16 +35,21 @@
 class Budget(NamedTuple):
     """How much may happen. ``names``: the schedulers, of which the first sets the cordon.
 
-    ``pairs``: who may ping whom ("ab": a pings b), all where it is empty.
+    ``pairs``: who may ping whom ("ab": a pings b), all where it is empty; ``each``: how often. ``crashing``:
+    who may crash. ``prompt``: a ping, its way, and the answer's are one step; more may then happen in the
+    same time.
     """
 
     names: str = "abc"
     pairs: tuple[str, ...] = ()
     ticks: int = 3
     pings: int = 3
-    crashes: int = 1
-    lost: int = 1
-    doubled: int = 1
+    crashes: int = 0
+    lost: int = 0
+    doubled: int = 0
+    each: int = 9
+    crashing: str = "c"
+    prompt: bool = False
 
 
 class Left(NamedTuple):
@@ -242,9 +247,11 @@
         if left.pings:
             fewer = left._replace(pings=left.pings - 1)
             for at in self.pinging:
-                yield self._ping(state, at, fewer)
+                if state.numbers[at] < self.budget.each:
+                    sent = self._ping(state, at, fewer)
+                    yield self._exchange(sent, at) if self.budget.prompt else sent
         if left.crashes:
-            for at in range(len(self.names)):
+            for at in (self.names.index(name) for name in self.budget.crashing):
                 yield self._crash(state, at, left._replace(crashes=left.crashes - 1))
 
     def _new(self, name: str, starts: list[int], caught_up: bool) -> Scheduler:
@@ -279,6 +286,11 @@
         following.numbers = _put(state.numbers, at, number)
         return self._with(following, node)
 
+    def _exchange(self, sent: State, at: int) -> State:
+        done = self._deliver(self._deliver(sent, at), self.back[at])
+        done.before, done.step = sent.before, f"{sent.step} and its answer arrive"
+        return done
+
     def _message(self, node: Scheduler, number: int, answer_us: int | None = None) -> Message:
         ages = starting = None
         if answer_us is not None:
@@ -406,18 +418,22 @@
 
 
 PLANS: Mapping[str, Budget] = {
-    "late": Budget(lost=0, doubled=0, crashes=0),
-    "doubled": Budget(pairs=("ac", "bc", "ba"), lost=0, doubled=1, crashes=0),
-    "crash": Budget(pairs=("ac", "bc", "ca", "cb"), pings=3, lost=0, doubled=0, crashes=1),
-    "relayed": Budget("abcde", ("ab", "ac", "ec", "de"), pings=4, lost=0, doubled=0, crashes=0),
+    "late": Budget(pairs=("ab", "cb", "bc"), each=2),
+    "lost": Budget(pairs=("ab", "cb"), lost=1, doubled=1),
+    "crash": Budget(pairs=("ac", "bc", "cb"), crashes=1, each=2),
+    "relayed": Budget("abcde", ("ab", "ac", "ec", "de"), pings=4, each=1),
+    "memory": Budget(
+        "abcde", ("ab", "ac", "cb", "cd", "ce", "dc", "de"), 2, 7, 2, each=1, crashing="bc", prompt=True
+    ),
 }
 """What is searched in seconds."""
 
 LARGE: Mapping[str, Budget] = {
-    "pings": Budget(pings=4, lost=0, doubled=0, crashes=0),
-    "all": Budget(pings=3),
-    "four": Budget("abcd", ("ab", "ac", "dc", "db", "da"), pings=4, lost=1, doubled=0, crashes=0),
-    "crash": Budget(pings=4, lost=0, doubled=0, crashes=1),
+    "all": Budget(lost=1, doubled=1, crashes=1, crashing="abc"),
+    "pings": Budget(pings=4),
+    "four": Budget("abcd", ("ab", "ac", "dc", "db", "da"), pings=4, lost=1),
+    "crash": Budget(pings=4, crashes=1, crashing="abc"),
+    "five": Budget("abcde", (), 2, 5, 2, crashing="abcde", prompt=True),
 }
 """What is searched in many minutes."""
 
@@ -428,6 +444,8 @@
     "ages-unread": ("relayed", lambda: Rules(AgesUnread)),
     "counts-at-once": ("crash", lambda: Rules(counts_at_once=True)),
     "one-is-enough": ("crash", lambda: Rules(OneIsEnough)),
+    "forgets-starts": ("memory", lambda: Rules(forgets_starts=True)),
+    "confirms-before": ("memory", lambda: Rules(confirms_before=True)),
 }
 """Each with one thing done wrongly, and the plan within which that is found."""
 
--- a/robinhill/mesh/members.py
+++ b/robinhill/mesh/members.py
@@ -7,8 +7,8 @@
 - Each period one peer is *checked*, in an order drawn anew each round. If it does not answer in time, a few
   others are asked to look: only if they too bring no answer is it *suspect*. So one bad link accuses nobody.
 - A suspect that hears of it *refutes*: it raises the count of its incarnation, and that word wins over the
-  suspicion. One that does not for long enough is *gone*. Whoever hears from a suspect itself waits on,
-  whatever others say.
+  suspicion. One that does not for long enough is *gone*, once we have looked for ourselves. Whoever hears
+  from a suspect itself waits on, whatever others say.
 - Gone is not for ever: now and then one of those is checked too, so that the two sides of a cut find each
   other again, and a peer that comes back refutes that it was gone. A new start has a larger incarnation,
   which wins over all of the former. *Left* is what a peer says of itself when it ends in order; only a new
@@ -224,6 +224,7 @@
     count: int = 0
     heard_us: int | None = None  # by itself
     suspect_us: int = 0
+    looked: bool = False  # for ourselves, since it is suspect
     accusers: list[str] = field(default_factory=list)
 
 
@@ -340,8 +341,13 @@
         self._overdue(mono_us)
         for name in list(self._suspects):
             member = self._members[name]
-            if mono_us >= self._suspect_until(member):
+            until_us = self._suspect_until(member)
+            if mono_us >= until_us:
                 self._change(name, member, MemberState.GONE)
+            elif not member.looked and mono_us >= (member.suspect_us + until_us) // 2:
+                # Its refutation may have missed us: look for ourselves, and have it told once more.
+                member.looked = True
+                self._check(mono_us, name)
         if mono_us >= self._next_us:
             # A tick that came late must not be followed by checks in a bunch.
             self._next_us = max(self._next_us + self.options.period_us, mono_us + self.options.period_us // 2)
@@ -354,11 +360,17 @@
         sender = message.sender
         if sender not in self._members:
             return self._take_acts()
+        new = message.incarnation > self._members[sender].incarnation
         self._heard(mono_us, sender, message.incarnation)
         self.take_gossip(mono_us, message.rumours)
         match message:
             case Check() if message.target == self.me:
-                self._answer(sender, message.number, self.me, self.incarnation)
+                # Who has just started joins through any that it reaches: it is told all at once.
+                rumours = self.all_rumours() if new else self.gossip(sender)
+                checked = Checked(
+                    self.me, self.incarnation, message.number, self.me, self.incarnation, rumours
+                )
+                self._acts.append(Answer(sender, checked))
             case CheckFor() if message.target == self.me:
                 self._answer(sender, message.number, self.me, self.incarnation)
             case CheckFor() if (
@@ -434,7 +446,7 @@
         return tuple(self._rumour(name) for name in chosen)
 
     def all_rumours(self) -> tuple[Rumour, ...]:
-        """All that is known, for a peer that joins: some 6 KB at 200 members. It does the same for us."""
+        """All that is known, for a peer that has just started: some 6 KB at 200 members."""
         known = [name for name, member in self._members.items() if member.incarnation]
         return tuple(self._rumour(name) for name in [self.me, *known])
 
@@ -509,6 +521,7 @@
         if member.state is not state:
             member.state = state
             self._acts.append(Became(name, state))
+        member.looked = False
         if state is MemberState.SUSPECT:
             self._suspects[name] = None
         else:
