--- a/robinhill/mesh/members.py
+++ b/robinhill/mesh/members.py
@@ -479,11 +479,12 @@
         if rumour.incarnation > self.incarnation:
             self._acts.append(Impostor(rumour.incarnation))
             return
-        if self.leaving or rumour.incarnation < self.incarnation or rumour.count < self.count:
-            return
-        if rumour.state != MemberState.ALIVE or rumour.count > self.count:
-            # A larger count than ours that is well meant cannot be; taking it over keeps us able to refute.
-            self.count = rumour.count + (rumour.state != MemberState.ALIVE)
+        bad = rumour.state != MemberState.ALIVE
+        if not self.leaving and (rumour.incarnation, rumour.count) >= (self.incarnation, self.count):
+            # A larger count than ours cannot be, but if it is, taking it over keeps us able to refute.
+            self.count = rumour.count + bad
+        if bad:
+            # Also where we refuted that already: it has missed whoever says so.
             self._rumours[self.me] = 0
 
     def _of_other(self, mono_us: int, rumour: Rumour) -> None:
