--- a/benchmarks/mesh.py
+++ b/benchmarks/mesh.py
@@ -151,8 +151,8 @@
             f"{line['processes']} processes, {line['on_lost']}, {line['loss']:.0%} lost, "
             f"{line['delay_ms']:g} ms late: last send after {statistics.median(last):.0f} ms in the middle, "
             f"{max(last):.0f} at worst; said to be in force after {statistics.median(answer or [0]):.0f}, "
-            f"{max(answer, default=0):.0f} ms; in {len(answer)} of {len(last)} trials; this machine was late by "
-            f"{line['late_s'] * 1000:.0f} ms at most",
+            f"{max(answer, default=0):.0f} ms; in {len(answer)} of {len(last)} trials; this machine was late "
+            f"by {line['late_s'] * 1000:.0f} ms at most",
             flush=True,
         )
 
--- a/robinhill/net/cordons.py
+++ b/robinhill/net/cordons.py
@@ -236,8 +236,8 @@
     def _started(self, name: str, incarnation: int) -> None:
         if name not in self.following.peers or incarnation <= self.following.peers[name].incarnation:
             return
+        self.freshness.started(name, incarnation)
         if self.following.started(mono_us(), name, incarnation):
-            self.freshness.started(name)
             log.info("peer_started_again", extra={"peer": name, "incarnation": incarnation})
         self._starts.pop(name, None)
         self._starts[name] = incarnation
