Name no scheduler behind that has said goodbye, and make room for a call before it writes

behind listed schedulers in state left, so cordon wait at another one could not end; a call answered 429 had already written its cordon, though the error says that nothing was changed.

--- a/robinhill/cordon/following.py
+++ b/robinhill/cordon/following.py
@@ -217,11 +217,18 @@
         return Scheduler(name, peer.incarnation, standing, mode, word.bound_us)
 
     def behind(self, target: str) -> tuple[str, ...]:
-        """Schedulers whose last word does not show that they go by what is held here of a target."""
+        """Schedulers whose last word does not show that they go by what is held here of a target.
+
+        One whose last word was that its process ends sends nothing more, whatever it went by.
+        """
         digest, whole = self.applied.get(target), self.applied.all
         return tuple(
             name
             for name, peer in sorted(self.peers.items())
             if not (word := peer.word)
-            or (word.applied != whole and (digest is None or dict(word.recent).get(target) != digest))
+            or (
+                not word.left
+                and word.applied != whole
+                and (digest is None or dict(word.recent).get(target) != digest)
+            )
         )
--- a/robinhill/cordon/promise.py
+++ b/robinhill/cordon/promise.py
@@ -199,13 +199,18 @@
 
     def follow(self, key: str, promise: Promise) -> None:
         """TooManyCalls if somebody waits for each that is followed."""
-        if key not in self._open and len(self._open) >= self.bound:
+        if key not in self._open:
+            self.make_room()
+        self._open[key] = promise
+
+    def make_room(self) -> None:
+        """Forget one for the next, if need be; to be called before what it is about is written."""
+        if len(self._open) >= self.bound:
             done = [k for k, p in self._open.items() if p.step is Step.IN_FORCE]
             free = done or [k for k, p in self._open.items() if p.deadline_us is None]
             if not free:
                 raise TooManyCalls(f"{self.bound} changes are waited for")
             del self._open[free[0]]
-        self._open[key] = promise
 
     def waited(self, mono_us: int) -> tuple[str, ...]:
         """The keys of calls whose wait has ended, in force or not, the oldest first; each is named once."""
--- a/robinhill/net/cordons.py
+++ b/robinhill/net/cordons.py
@@ -393,6 +393,7 @@
         """Write and follow a change; the call is answered by `_review`."""
         wait_us = views.read_wait(call.wait.removesuffix("s")) if call.wait is not None else None
         now, now_us = mono_us(), self.clock.now_us()
+        self.following.promises.make_room()  # a call that is turned away must not have written anything
         records = [self.replica.write(now_us, value.NAME, target, each) for target, each in new.items()]
         followed = self.following.follow(
             now, key, call.cordon_id, records, lifts=lifts,
--- a/tests/test_cordon.py
+++ b/tests/test_cordon.py
@@ -19,6 +19,7 @@
     NotAccepted,
     TooManyCalls,
 )
+from robinhill.cordon.following import Following
 from robinhill.cordon.limits import KEEP_US
 from robinhill.cordon.promise import Mode, Promise, Promises, Scheduler, Standing, Step, with_slack
 from robinhill.cordon.value import (
@@ -38,6 +39,9 @@
     set_,
 )  # fmt: skip
 from robinhill.cordon.views import answer, listing, read_put, read_wait
+from robinhill.mesh import notices
+from robinhill.mesh.notices import Notice
+from robinhill.mesh.quorum import Quorum
 from robinhill.mesh.words import ForeignState
 
 S = 1_000_000
@@ -488,3 +492,27 @@
     rest = [n for n in names if n not in at_once]
     assert len([n for n in rest if propose(NOW, n, rest, sights, {}, FLEET)]) == 1, "the next, if it is gone"
     assert all(propose(NOW + 5 * S, n, names, sights, {}, FLEET) for n in names)
+
+
+def test_who_has_left_is_not_behind_and_who_only_falls_silent_is() -> None:
+    names = ("a", "b", "c")
+    following = Following("a", Mode.SERVE, S, Quorum("a", names))
+    following.reconfigure(0, names)
+    word = Notice(notices.VERSION, 7, 1, "serve", S, True, True, False, b"", b"older", (), ())
+    for name in ("b", "c"):
+        following.started(0, name, 7)
+        following.said(0, name, word)
+    assert following.behind("worker/w1") == ("b", "c")
+    following.said(1, "b", msgspec.structs.replace(word, serial=2, left=True))
+    following.linked(2, "c", False)
+    assert following.behind("worker/w1") == ("c",)
+
+
+def test_room_for_a_call_is_made_before_anything_is_written() -> None:
+    promises = Promises(bound=1)
+    promises.follow("1", Promise("c1", "a", Mode.SERVE, [Scheduler("a")], deadline_us=5))
+    with pytest.raises(TooManyCalls):
+        promises.make_room()
+    assert promises.waited(5) == ("1",)  # nobody waits for it any more
+    promises.make_room()
+    assert not promises.under_way()
