--- a/robinhill/mesh/freshness.py
+++ b/robinhill/mesh/freshness.py
@@ -199,17 +199,24 @@
 
     def _raise(self, table: dict[str, int], written_us: int, ages_us: Mapping[str, int]) -> None:
         for peer, age_us in ages_us.items():
-            if peer in self._names and peer != self.me:
-                told = max(0, age_us)  # a negative age would lend a lease from the future
-                moment = written_us - told - (told + RATE_ALLOWANCE - 1) // RATE_ALLOWANCE
-                table[peer] = max(moment, table.get(peer, moment))
+            known = table.get(peer)
+            if known is None:
+                if peer == self.me or peer not in self._names:
+                    continue
+            elif known >= written_us - age_us:
+                continue  # most entries of most answers: we know it from nearer by
+            told = max(0, age_us)  # a negative age would lend a lease from the future
+            moment = written_us - told - (told + RATE_ALLOWANCE - 1) // RATE_ALLOWANCE
+            if known is None or moment > known:
+                table[peer] = moment
 
     def _freshest(self, table: Mapping[str, int], mono_us: int, limit: int) -> dict[str, int]:
-        latest = sorted(table.items(), key=lambda item: (-item[1], item[0]))[:limit]
-        return {peer: max(0, mono_us - at) for peer, at in latest}
+        if len(table) > limit:
+            table = dict(sorted(table.items(), key=lambda item: (-item[1], item[0]))[:limit])
+        return {peer: mono_us - at for peer, at in table.items()}
 
     def _find_floor(self) -> int | None:
-        return self.quorum.floor(self._known.get, mine=self._caught_up)
+        return self.quorum.floor(self._known, mine=self._caught_up)
 
     def _majority_of_others(self) -> bool:
         return self.quorum.met({one for one in self._names if one != self.me and self._since_introduced(one)})
--- a/robinhill/mesh/members.py
+++ b/robinhill/mesh/members.py
@@ -344,7 +344,7 @@
             until_us = self._suspect_until(member)
             if mono_us >= until_us:
                 self._change(name, member, MemberState.GONE)
-            elif not member.looked and mono_us >= (member.suspect_us + until_us) // 2:
+            elif not member.looked and until_us - mono_us <= self._suspicion_us // 4:
                 # Its refutation may have missed us: look for ourselves, and have it told once more.
                 member.looked = True
                 self._check(mono_us, name)
@@ -366,11 +366,7 @@
         match message:
             case Check() if message.target == self.me:
                 # Who has just started joins through any that it reaches: it is told all at once.
-                rumours = self.all_rumours() if new else self.gossip(sender)
-                checked = Checked(
-                    self.me, self.incarnation, message.number, self.me, self.incarnation, rumours
-                )
-                self._acts.append(Answer(sender, checked))
+                self._answer(sender, message.number, self.me, self.incarnation, new)
             case CheckFor() if message.target == self.me:
                 self._answer(sender, message.number, self.me, self.incarnation)
             case CheckFor() if (
@@ -540,6 +536,7 @@
             member.incarnation, member.count = incarnation, 0
             self._change(peer, member, MemberState.ALIVE)
         member.heard_us = mono_us
+        member.looked = False  # if it is still suspect, we look again before it is gone
 
     def _suspect_until(self, member: _Member) -> int:
         share = min(1.0, max(0, len(member.accusers) - 1) / self.options.accusers)
@@ -578,7 +575,8 @@
         return None
 
     def _check(self, mono_us: int, peer: str, attempt: int = 1) -> None:
-        if len(self._outstanding) < OUTSTANDING_AT_MOST:
+        checking = any(one.target == peer and not one.asker for one in self._outstanding.values())
+        if not checking and len(self._outstanding) < OUTSTANDING_AT_MOST:
             direct_us = mono_us + self.options.answer_us
             self._send_check(_Outstanding(peer, direct_us, direct_us + self.options.through_us, attempt))
 
@@ -628,8 +626,10 @@
         elif member.state is MemberState.SUSPECT:
             self._accuse(peer, member, self.me)
 
-    def _answer(self, peer: str, number: int, target: str, incarnation: int) -> None:
-        message = Checked(self.me, self.incarnation, number, target, incarnation, self.gossip(peer))
+    def _answer(self, peer: str, number: int, target: str, incarnation: int, new: bool = False) -> None:
+        # With what we know of the target, so that its refutation comes along if that has missed the asker.
+        rumours = self.all_rumours() if new else (self._rumour(target), *self.gossip(peer))
+        message = Checked(self.me, self.incarnation, number, target, incarnation, rumours)
         self._acts.append(Answer(peer, message))
 
     def _checked(self, mono_us: int, message: Checked) -> None:
--- a/robinhill/mesh/quorum.py
+++ b/robinhill/mesh/quorum.py
@@ -1,6 +1,6 @@
 """Majorities of the configured schedulers, also while their list changes."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from robinhill.mesh.words import MeshError
 
@@ -61,22 +61,23 @@
         """Whether these names are a majority."""
         return all(sum(name in have for name in one) >= majority(len(one)) for one in self._lists)
 
-    def floor(self, known: Callable[[str], int | None], mine: bool) -> int | None:
+    def floor(self, known: Mapping[str, int], mine: bool) -> int | None:
         """The moment as of which a majority is known, or later: the least of the lists' majority-th latest.
 
-        ``known`` gives the moment for each other scheduler; ``mine``: whether we count ourselves, always as
-        of now. None where too few are known. Where we alone are a majority, so that no moment limits: `NOW`.
+        ``known``: the moments of other schedulers among `names`; ``mine``: whether we count ourselves, always
+        as of now. None where too few are known. Where we alone are a majority, so that no moment limits:
+        `NOW`.
         """
         floor = NOW
         for one in self._lists:
+            needed = majority(len(one)) - mine
             moments = sorted(
-                (at for name in one if name != self.me and (at := known(name)) is not None), reverse=True
+                known.values() if len(self._lists) == 1 else [known[name] for name in one & known.keys()]
             )
-            needed = majority(len(one)) - mine
             if len(moments) < needed:
                 return None
             if needed:
-                floor = min(floor, moments[needed - 1])
+                floor = min(floor, moments[-needed])
         return floor
 
 
