--- a/robinhill/mesh/frames.py
+++ b/robinhill/mesh/frames.py
@@ -1,10 +1,11 @@
-"""What passes over a link between two schedulers: frames as typed values, each in one MessagePack array.
+"""What passes over a link between two schedulers: messages of a few frames, which are MessagePack arrays.
 
-A frame may be lost, doubled or overtaken by another: on a plain connection none is, but a guarantee must not
-hang on what lies between. So pushes are numbered, and all else can be said again.
+A message may be lost, doubled or overtaken by another: on a plain connection none is, but a guarantee must
+not hang on what lies between. So pushes are numbered, and all else can be said again.
 """
 
 import hashlib
+from collections.abc import Sequence
 
 import msgspec
 
@@ -12,7 +13,7 @@
 
 PROTOCOL = 1
 RANGES = 256
-MAX_FRAME = 1 << 20  # bytes: a reader closes a link that sends more
+MAX_MESSAGE = 1 << 20  # bytes: a reader closes a link that sends more
 MAX_MEMBERS = 1024
 CHECK = 8  # bytes of a record's digest in a comparison; the next round would put right a miss in 2**64
 
@@ -111,20 +112,20 @@
 
 
 Frame = Hello | Push | Ping | Pong | Again | Ranges | Heads | Redo | Aside
-_decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
+_decoder: msgspec.msgpack.Decoder[list[Frame]] = msgspec.msgpack.Decoder(list[Frame])
 _encoder = msgspec.msgpack.Encoder()
 
 
-def write(frame: Frame) -> bytes:
-    return _encoder.encode(frame)
+def write(frames: Sequence[Frame]) -> bytes:
+    return _encoder.encode(frames)
 
 
-def read(data: bytes) -> Frame:
-    """The frame; raises PeerRefused for what is none."""
+def read(data: bytes) -> list[Frame]:
+    """The frames of a message; raises PeerRefused for what is none."""
     try:
         return _decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError) as e:
-        raise PeerRefused(f"a frame can't be read: {e}") from e
+        raise PeerRefused(f"a message can't be read: {e}") from e
 
 
 def check(record: Record) -> bytes:
--- a/robinhill/mesh/options.py
+++ b/robinhill/mesh/options.py
@@ -10,6 +10,7 @@
 Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")]
 HostPort = Annotated[str, Meta(max_length=128, pattern=r"^.+:[0-9]{1,5}$")]
 Header = Annotated[str, Meta(pattern=r"^[A-Za-z0-9-]{1,64}$")]
+FULL_MESH = 16  # others: up to here each has a link to each
 MAX_PEERS = 999  # what is known of each is some hundred bytes; ages of all go with each pong
 
 
@@ -50,7 +51,8 @@
 
     @property
     def interval_us(self) -> int:
-        """How often each link is asked. Knowledge passes three links at most at 200 schedulers, and each
-        adds one interval to its age; the rest of the bound is for delays on the way.
+        """How often each link is asked. A link adds at most one interval to the age of what passes it: where
+        all are linked to each other there is one, at 200 schedulers there are four at most. The rest of the
+        bound is for delays on the way.
         """
-        return self.bound_ms * 1000 // 5
+        return self.bound_ms * 1000 // (3 if len(self.peers) <= FULL_MESH else 6)
--- a/robinhill/mesh/session.py
+++ b/robinhill/mesh/session.py
@@ -7,18 +7,19 @@
 """
 
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
 from robinhill.mesh.comparing import Comparison
 from robinhill.mesh.delivery import Arrivals, Departures, Name, Pushed
 from robinhill.mesh.frames import (
-    MAX_FRAME,
     MAX_MEMBERS,
+    MAX_MESSAGE,
     PROTOCOL,
     Again,
     Aside,
+    Frame,
     Heads,
     Hello,
     Ping,
@@ -33,8 +34,11 @@
 
 BATCH = 256  # records in a push at most, fewer where they are large: a pong must not wait behind a long one
 BATCH_BYTES = 64 << 10
+SMALL = 8  # records in a push that goes together with other frames
 ROOM = 4 << 10  # bytes of a frame round the value of a record
-PING_GAP_US = 25_000  # between two pings, also where changes follow each other closely
+PING_GAP_US = 50_000  # between two pings, and from a push to the ping that asks whether it came
+RELAY_US = 60_000  # what a peer should have from the writer itself is passed on only so much later
+MOST_FRAMES = 16  # in a message: sending is dear, so small frames go together
 FIRST_WAIT_US = 250_000  # for an answer, while the round trip is not known
 MIN_WAIT_US = 50_000
 MAX_PINGS = 8  # that may be out
@@ -167,15 +171,20 @@
         self._number = 0
         self._ping_us = 0  # when the next one is due
         self._last_ping_us = -PING_GAP_US
+        self._relay_us: int | None = None  # when changes must go that the peer may have from elsewhere
+        self.direct: Callable[[str], bool] = lambda origin: False  # whether it should have those of this one
         self._early: list[Pong] = []  # pongs that came before the pushes that they stand behind
         self._ask_again: tuple[int, ...] = ()
 
     # In
 
     def receive(self, now_us: int, mono_us: int, data: bytes) -> list[Event]:
-        """Take in a frame (``now_us``: Unix time). Raises PeerRefused; the link must end then."""
-        frame = read(data)
+        """Take in a message (``now_us``: Unix time). Raises PeerRefused; the link must end then."""
+        frames = read(data)
         self.heard_us = mono_us
+        return [event for frame in frames for event in self._receive(now_us, mono_us, frame)]
+
+    def _receive(self, now_us: int, mono_us: int, frame: Frame) -> list[Event]:
         if isinstance(frame, Hello):
             return self._hello(now_us, mono_us, frame)
         self._understood = True  # only who has greeted us back writes anything else
@@ -281,7 +290,7 @@
 
     def ask(self) -> None:
         """Ping as soon as may be."""
-        self._ping_us = self._last_ping_us + PING_GAP_US
+        self._ping_us = min(self._ping_us, self._last_ping_us + PING_GAP_US)
 
     def say(self, words: bytes) -> None:
         """Tell a member something that may be lost."""
@@ -298,41 +307,60 @@
         """When `draw` has something to write though nothing happens before."""
         if self.peer is None:
             return self._hello_us
-        due = [self._ping_us, *([] if self._understood else [self._hello_us])]
+        due = [self._ping_due_us(), *([] if self._understood else [self._hello_us])]
         if (next_us := self.comparison.next_us) is not None:
             due.append(next_us)
+        if self._relay_us is not None:
+            due.append(self._relay_us)
         return min(due)
 
+    def _ping_due_us(self) -> int:
+        """Earlier than in turn where the last one, or a push, seems to be lost."""
+        if self._asked or self._went.unconfirmed:
+            return min(self._ping_us, self._last_ping_us + max(PING_GAP_US, self.wait_us))
+        return self._ping_us
+
     def draw(self, now_us: int, mono_us: int) -> bytes | None:
-        """The next frame to write, as there is room for one; None: there is nothing to say now."""
+        """The next message to write, as there is room for one; None: there is nothing to say now."""
+        frames: list[Frame] = []
+        while len(frames) < MOST_FRAMES and (frame := self._next(now_us, mono_us)) is not None:
+            frames.append(frame)
+            if isinstance(frame, (Push, Heads, Ranges)) and len(frames) > 1:
+                break
+            if isinstance(frame, Push) and len(frame.records) > SMALL:
+                break
+        return write(frames) if frames else None
+
+    def _next(self, now_us: int, mono_us: int) -> Frame | None:
         if not self._understood and mono_us >= self._hello_us:
             self._hello_us = mono_us + self.wait_us
             own = self.own
-            return write(
-                Hello(PROTOCOL, own.installation, own.name, own.incarnation, own.features, now_us, own.names)
+            return Hello(
+                PROTOCOL, own.installation, own.name, own.incarnation, own.features, now_us, own.names
             )
         if self.peer is None:
             return None
         if self._ask_again:
             numbers, self._ask_again = self._ask_again, ()
-            return write(Again(numbers))
-        if frame := self._said_again(mono_us) or self._changes(mono_us) or self._answer():
+            return Again(numbers)
+        frame: Frame | None
+        if frame := self._said_again(mono_us) or self._changes(mono_us) or self._answer(mono_us):
             return frame
-        if mono_us >= self._ping_us:
+        if mono_us >= self._ping_due_us():
             return self._ping(mono_us)
         if self._asides:
-            return write(Aside(self._asides.popleft()))
+            return Aside(self._asides.popleft())
         self.comparison.tick(now_us, mono_us)
         if (part := self.comparison.draw()) is not None:
-            return write(part)
+            return part
         if self.comparison.owed and self._went.room:
             return self._lacked(mono_us)
         if not self._whole and self.comparison.rounds and not self.comparison.owed:
             self._whole = True
-            return self._answer()
+            return self._answer(mono_us)
         return None
 
-    def _answer(self) -> bytes | None:
+    def _answer(self, mono_us: int) -> Pong | None:
         owed = self._owed
         if owed is None or not self._whole or self.cursor < owed.head:
             return None
@@ -340,9 +368,11 @@
         names, known, starting = self.own.names, owed.ages_us, owed.starting_us
         ages = tuple(_ms(known[name]) if name in known else -1 for name in names)
         late = tuple((i, _ms(starting[name])) for i, name in enumerate(names) if name in starting)
-        return write(Pong(owed.number, self._went.last, self._came.low, ages, late))
+        if self._ping_us - mono_us < self.interval_us // 2:
+            self._ping_us = mono_us  # in the same message as the answer
+        return Pong(owed.number, self._went.last, self._came.low, ages, late)
 
-    def _ping(self, mono_us: int) -> bytes:
+    def _ping(self, mono_us: int) -> Ping:
         assert self.peer
         self._number += 1
         self._asked[self._number] = mono_us
@@ -350,29 +380,42 @@
             del self._asked[next(iter(self._asked))]
         self.ages.pinged(mono_us, self.peer.name, self._number)
         self._last_ping_us = mono_us
-        soon = self._went.unconfirmed or len(self._asked) > 1
-        self._ping_us = mono_us + (min(self.wait_us, self.interval_us) if soon else self.interval_us)
-        return write(Ping(self._number, self._went.last, self._came.low))
+        self._ping_us = mono_us + self.interval_us
+        return Ping(self._number, self._went.last, self._came.low)
 
-    def _write_push(self, mono_us: int, records: list[Record], pushed: Pushed) -> bytes:
+    def _write_push(self, mono_us: int, records: list[Record], pushed: Pushed) -> Push:
         number = self._went.wrote(pushed)
         self.pushed += len(records)
-        # An answer to a ping right behind it tells that it has come.
-        self._ping_us = min(self._ping_us, max(mono_us, self._last_ping_us + PING_GAP_US))
-        return write(Push(number, tuple(records), pushed.instead))
+        # An answer to a ping behind it tells that it has come.
+        self._ping_us = min(self._ping_us, max(mono_us, self._last_ping_us) + PING_GAP_US)
+        return Push(number, tuple(records), pushed.instead)
 
-    def _said_again(self, mono_us: int) -> bytes | None:
+    def _said_again(self, mono_us: int) -> Push | None:
         """A push that was lost, with the newest values."""
         if (lost := self._went.again()) is None:
             return None
         records = [r for name in lost.names if (r := self.store.record(*name)) and self._fits(r)]
         return self._write_push(mono_us, records, lost)
 
-    def _changes(self, mono_us: int) -> bytes | None:
+    def _may_wait(self, mono_us: int, records: list[Record]) -> bool:
+        """Whether the peer should have all of these from their writers; of two such peers one asks first."""
+        assert self.peer
+        if self._owed or len(records) >= BATCH:
+            return False
+        own = self.own.name
+        if any(r.stamp.origin == own or not self.direct(r.stamp.origin) for r in records):
+            return False
+        if self._relay_us is None:
+            self._relay_us = mono_us + (RELAY_US if own < self.peer.name else 2 * RELAY_US)
+        return mono_us < self._relay_us
+
+    def _changes(self, mono_us: int) -> Push | None:
         """The changes behind the cursor, without what the peer has shown that it has."""
         limit = BATCH
         while self.cursor < self.store.head and self._went.room:
             records, cursor = self.store.since(self.cursor, limit)
+            if limit == BATCH and self._may_wait(mono_us, records):
+                return None
             due = [r for r in records if self._shown.get(r.name) != r and self._fits(r)]
             if len(due) > 1 and sum(len(r.value) for r in due) > BATCH_BYTES:
                 limit = len(records) // 2
@@ -383,12 +426,13 @@
                 self.comparison.owed.pop(record.name, None)
             if self.cursor >= self.store.head:
                 self._shown.clear()
+                self._relay_us = None
             self.skipped += len(records) - len(due)
             if due:
                 return self._write_push(mono_us, due, Pushed(tuple(r.name for r in due), before))
         return None
 
-    def _lacked(self, mono_us: int) -> bytes:
+    def _lacked(self, mono_us: int) -> Push:
         """Records that a comparison found the peer to lack, in their newest form."""
         due: list[Record] = []
         size = 0
@@ -402,7 +446,7 @@
         return self._write_push(mono_us, due, Pushed(tuple(r.name for r in due), 0))
 
     def _fits(self, record: Record) -> bool:
-        fits = len(record.value) + len(record.key) <= MAX_FRAME - BATCH_BYTES - ROOM
+        fits = len(record.value) + len(record.key) <= MAX_MESSAGE - BATCH_BYTES - ROOM
         self.oversized += not fits
         return fits
 
--- a/robinhill/net/peers.py
+++ b/robinhill/net/peers.py
@@ -14,7 +14,7 @@
 
 from robinhill.config import Address
 from robinhill.mesh import overlay
-from robinhill.mesh.frames import MAX_FRAME
+from robinhill.mesh.frames import MAX_MESSAGE
 from robinhill.mesh.session import Ages, Answered, Event, Greeted, Identity, Learned, Session, Store, Told
 from robinhill.mesh.words import PeerRefused, PeerUnreachable
 from robinhill.net.actor import Actor, Supervisor
@@ -30,8 +30,7 @@
 LONGEST_WAIT_S = 1.0  # two tries within the two seconds in which copies must be equal after a heal
 COURTESY_S = 0.1  # the peer with the lower name dials; the other only if nothing has come by then
 STRANGERS = 16  # connections that have not greeted yet
-DEAD_INTERVALS = 3  # a link that is silent for so many intervals, but a second at least, is given up
-LEAST_DEAD_US = 1_000_000
+DEAD_US = 800_000  # past an interval without a word, a link is given up
 AWAY_US = 500_000  # a look that is so late: this process stood still, and links had no chance to be heard
 BIND_AGAIN_S = 0.2  # while another process of this scheduler has the address still
 MOST_TRIES = 16  # that are counted
@@ -207,7 +206,7 @@
             return web.Response(status=404)
         if self._stopping or len(self.fresh) >= STRANGERS:
             return web.Response(status=503)
-        socket = web.WebSocketResponse(max_msg_size=MAX_FRAME, compress=False, timeout=0.2)
+        socket = web.WebSocketResponse(max_msg_size=MAX_MESSAGE, compress=False, timeout=0.2)
         await socket.prepare(request)
         await self._run(socket, str(request.remote), dialled=False)
         return socket
@@ -259,6 +258,9 @@
         match event:
             case Greeted(hello=hello):
                 if self._seat(link):
+                    own = self.configured.identity
+                    near = set(overlay.partners(hello.name, own.names))
+                    link.session.direct = lambda origin: origin in near or origin == hello.name
                     self.hearer.greeted(hello.name, hello.incarnation, hello.now_us)
             case Learned():
                 self.hearer.learned(event)
@@ -371,7 +373,7 @@
         try:
             async with asyncio.timeout(DIAL_S):
                 socket = await self._client.ws_connect(
-                    f"http://{address}{PATH}", max_msg_size=MAX_FRAME, compress=0, autoclose=True
+                    f"http://{address}{PATH}", max_msg_size=MAX_MESSAGE, compress=0, autoclose=True
                 )
         except (OSError, aiohttp.ClientError, TimeoutError) as e:
             return f"{type(e).__name__} {e}".strip()
@@ -393,7 +395,7 @@
                 link.session.ask()
                 link.wake()
         else:
-            dead_us = max(LEAST_DEAD_US, DEAD_INTERVALS * interval_us)
+            dead_us = interval_us + DEAD_US
             for link in list(self.links.values()):
                 if now_us - link.session.heard_us > dead_us:
                     link.end("silent")
