--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -415,9 +415,7 @@
         self.seen = dict.fromkeys(told["seen"]) | self.seen
         self.next_number = told["next"] + NUMBERS_APART
         self.held_out, self.outages = set(told["held_out"]), {k: tuple(v) for k, v in told["outages"].items()}
-        for destination in self.listed():
-            self._update(destination)
-        self._decide(api.WorkersListed(api.ListKind.CACHED, [self._worker(d) for d in self.listed()]))
+        self._tell_anew()
         memory.recall(self.balancer, told["module"])
 
     def _release(self, message: Release) -> None:
--- a/robinhill/net/messages.py
+++ b/robinhill/net/messages.py
@@ -294,13 +294,11 @@
         for line in lines:
             self._line += line
             whole, self._line = bytes(self._line), bytearray()
-            if self._value:
-                self._add(whole)
-            elif not whole.strip():
+            if not self._value and not whole.strip():
                 yield None
-            else:
-                self._add(whole)
-            if self._value and self._depth <= 0:
+                continue
+            self._add(whole)
+            if self._depth <= 0:
                 value, self._value, self._depth = bytes(self._value), bytearray(), 0
                 yield read_destinations(_load(value))
         self._line += rest
