Keep cold workers within budget after a lull, a shrinking fleet, short jobs and a return

Ruled out, nothing over the budget before either: even and uneven traffic of 20, 30 and 200 modules, word of the start spread over 1 s, all modules just started, 3 s jobs on one slot.

This changes ordinary decisions while a worker is cold.

--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -23,7 +23,6 @@
 EJECT_US = 4_000_000  # the longest time out; or half the time in which workers warm up, if longer
 SILENT_FAULTS = 3  # a worker that answers no probe stays out as long as after so many failures
 IN_LINE = 3.0  # own jobs of all nodes at a worker where they wait; below one each, it rests between two
-BACK_US = 500_000  # between the first jobs of all nodes to a worker taken back, though it is cold
 CHEAP_WASTE = 0.1  # price of waste under which jobs past use are withdrawn: gains at 0.02, loses at 0.2
 
 
@@ -179,8 +178,6 @@
                     # Back after it was left out: what befell it or own jobs there before tells nothing now.
                     seat.faults, seat.errors, seat.doubt_us, seat.waiting, seat.back_us = 0, 0.0, 0, None, now
                     seat.out, seat.full, seat.last = set(), {}, self.sends - 1 - int(seat.rank * turn)
-                    if (first := now + self.random.random() * BACK_US * self.s.fleet_size) < seat.cold_us:
-                        seat.shut_us, seat.credit, seat.last = first, 1.0, self.sends - 1000 * (turn + 1)
             seat.wanted = any(c.bound and c.open_to(entry) for c in self.s.classes)
             self._price(seat)
         self._weigh()
@@ -188,7 +185,9 @@
             unlisted = event.kind is not api.ListKind.CHANGES and address not in listed
             if unlisted or seat.entry.state is api.WorkerState.GONE:
                 self._leave(self.seats.pop(address))
-        self.ready = max(1, sum(x.shut_us < inf for x in self.seats.values()))
+        ready = max(1, sum(x.shut_us < inf for x in self.seats.values()))
+        # A job done counts by the workers of its time: what many bore is not what each of few can bear.
+        self.served.count, self.ready = self.served.count * ready / self.ready, ready
         self._release(now)
 
     def _leave(self, seat: _Seat) -> None:
@@ -201,13 +200,16 @@
 
     def _pace(self, now: int, seen: float) -> float:
         """Own jobs a microsecond to a cold worker, were it warm: a share of what all bear, or of one job."""
-        served, window, job_us = self.served, self.s.cold_us, self.mean_us or UNKNOWN_JOB_US
+        served, window, size = self.served, self.s.cold_us, self.s.fleet_size
         share = served.count * exp((served.at_us - now) / window) / (seen * window * self.ready)
-        return self.s.fall_multiple / 2 * max(share, 1 / (self.s.fleet_size * job_us))
+        # One short job must not stand for all: leaning on a long one, few of them tell little.
+        return self.s.fall_multiple / 2 * max(share, 1 / (size * served.lean(UNKNOWN_JOB_US)))
 
     def _earned(self, now: int, seat: _Seat, pace: float) -> bool:
         """Whether it is time for a job to a cold worker: all nodes' shares add up to half its budget."""
-        credit = seat.credit + (now - seat.credit_us) * pace * self._warm(now, seat)
+        # In a lull all nodes would come to their turn, and the first burst send all of these at once.
+        passed = min(now - seat.credit_us, self.s.tip_after_us)
+        credit = seat.credit + passed * pace * self._warm(now, seat)
         if seat.credit < 1.0 <= credit:  # its turn, though cold
             seat.last = min(seat.last, self.sends - int(len(self.seats) / self.s.cold_from))
         seat.credit, seat.credit_us = min(1.0, credit), now
@@ -399,8 +401,7 @@
             seat.limit = seat.limit + 1.0 if seat.limit >= 1 else min(1.0, seat.limit + 0.15)
 
     def _ended(self, now: int, event: api.AttemptEnded) -> None:
-        flight = self.flights.pop((event.job, event.attempt), None)
-        if flight is None:
+        if (flight := self.flights.pop((event.job, event.attempt), None)) is None:
             return
         seat, job, outcome = flight.seat, flight.job, event.outcome
         seat.out.discard((event.job, event.attempt))
@@ -448,7 +449,8 @@
             seat.errors, seat.failed = 0.75 * seat.errors, 0.75 * seat.failed
             seat.faults = seat.faults if seat.errors >= 0.25 else 0
             seat.done_us, seat.doubt_us = now, 0
-            self.served.add(now, took_us, self.s.cold_us)
+            if seat.shut_us < inf:
+                self.served.add(now, took_us, self.s.cold_us)
             return self._learn(now, flight, took_us)
         idle = outcome in (api.Outcome.CANCELLED, api.Outcome.NOT_SENT) and not late
         if idle or flight.sent_us < seat.back_us:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,8 +3,10 @@
 import heapq
 import itertools
 import random
+from bisect import bisect_right
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import sqrt
 
 from robinhill import api
 from robinhill.logic import Balancer
@@ -36,11 +38,20 @@
     told: tuple[float, list[api.Worker]] = (0, []),
     slots: int = 1000,
     zones: list[int] | None = None,
+    weights: list[float] | None = None,
+    moments: list[float] | None = None,
+    starts: list[float] | None = None,
+    hearing_s: float = 0.0,
+    before: tuple[float, list[api.Worker]] = (0, []),
     **changes: object,
 ) -> list[Sent]:
     """Every attempt, in the order of sending; ``answer`` tells how one ends by worker and moment. Workers
     run as many at once as they have slots, in order. Nodes start together at START, with the list, and get
-    the jobs by lot; ``told``: when, in seconds, all hear of which changes; ``zones``: of the nodes."""
+    the jobs by lot; ``told``: when, in seconds, all hear of which changes; ``zones``: of the nodes.
+
+    ``weights``: how much of the traffic each node gets; ``moments``: when jobs arrive, in seconds, where not
+    evenly; ``starts``: when each node starts, which gets nothing before; ``hearing_s``: each hears of the
+    changes at its own moment within it; ``before``: earlier changes, of which all hear at once."""
     chance, order = random.Random(nodes), itertools.count()
     balancers = []
     for node in range(nodes):
@@ -71,19 +82,45 @@
     free: dict[str, list[int]] = {}  # of each worker: when each of its slots is free
     tries: dict[int, int] = {}
     classes: dict[int, int] = {}
+    begun = [START + int(at * S) for at in starts or [0.0] * nodes]
     for node, balancer in enumerate(balancers):
-        balancer.start(START)
-        put(START, node, api.WorkersListed(api.ListKind.CACHED, list(workers)))
-        put(START + int(told[0] * S), node, api.WorkersListed(api.ListKind.CHANGES, list(told[1])))
-    for job in range(int(jobs_a_second * seconds)):
+        balancer.start(begun[node])
+        put(begun[node], node, api.WorkersListed(api.ListKind.CACHED, list(workers)))
+        put(max(begun[node], START + int(before[0] * S)), node,
+            api.WorkersListed(api.ListKind.CHANGES, list(before[1])))  # fmt: skip
+        heard = START + int((told[0] + hearing_s * (node + 0.5) / nodes) * S)
+        put(max(begun[node], heard), node, api.WorkersListed(api.ListKind.CHANGES, list(told[1])))
+    if moments is None:
+        moments = [(job + 1) / jobs_a_second for job in range(int(jobs_a_second * seconds))]
+    for job, moment in enumerate(moments):
         classes[job] = chance.randrange(len(chosen.classes))
         left = chosen.classes[classes[job]].deadline_us
-        put(
-            START + int((job + 1) / jobs_a_second * S),
-            chance.randrange(nodes),
-            api.Arrived(api.Request(job, classes[job], left)),
-        )
+        node = chance.choices(range(nodes), weights)[0] if weights else chance.randrange(nodes)
+        at = START + int(moment * S)
+        if at >= begun[node]:
+            put(at, node, api.Arrived(api.Request(job, classes[job], left)))
     while queue and queue[0][0] < START + seconds * S:
         now, _, node, event = heapq.heappop(queue)
         carry_out(now, node, balancers[node].handle(now, event))
     return sent
+
+
+def fullest(
+    sent: list[Sent], worker: str, started_us: int, warm_rate: float, chosen: api.Settings
+) -> tuple[float, float]:
+    """How full a cold worker's fullest window was, 1 being all that is put down to chance beyond its budget;
+    and how much of its budget till it is warm it got. ``warm_rate``: jobs a second that it does once warm."""
+    window, cold = chosen.tip_after_us, chosen.cold_us
+
+    def speed(at_us: int) -> float:
+        """The share of its speed that it has for sure, linear until it is warm."""
+        return chosen.cold_from + (1 - chosen.cold_from) * min(1.0, max(0.0, (at_us - started_us) / cold))
+
+    moments = sorted(s.at_us for s in sent if s.worker == worker and 0 <= s.at_us - started_us < cold)
+    worst = 0.0
+    for number, at in enumerate(moments, 1):
+        got = number - bisect_right(moments, at - window)
+        budget = chosen.fall_multiple * warm_rate * window / S * (speed(at - window) + speed(at)) / 2
+        worst = max(worst, got / (budget + 2 * sqrt(budget) + 2))
+    whole = chosen.fall_multiple * warm_rate * cold / S * (1 + chosen.cold_from) / 2
+    return worst, len(moments) / whole
