--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -23,7 +23,7 @@
 EJECT_US = 4_000_000  # the longest time out; or half the time in which workers warm up, if longer
 SILENT_FAULTS = 3  # a worker that answers no probe stays out as long as after so many failures
 IN_LINE = 3.0  # own jobs of all nodes at a worker where they wait; below one each, it rests between two
-MOVES, MOST_MOVES = 0.1, 10.0  # retry budget: moves of waiting jobs for each completion; the most saved up
+MOVES, MOST_MOVES = 0.1, 10.0  # retry budget: jobs placed again for each completion; some run on, withdrawn
 CHEAP_WASTE = 0.1  # price of waste under which jobs past use are withdrawn: gains at 0.02, loses at 0.2
 
 
@@ -108,7 +108,7 @@
         self.mean_us, self.class_us = 0.0, [0.0] * len(settings.classes)  # smoothed job time, of each class
         self.usual_us = [0.0] * len(settings.classes)  # the lowest class_us seen, rising slowly
         self.kinds: dict[int, Mean] = {}  # job time by kind of machine
-        # Own completions; usable workers; jobs given up; waiting jobs that may be moved.
+        # Own completions; usable workers; jobs given up; jobs that may be withdrawn to be placed again.
         self.served, self.ready, self.given_up, self.moves = Mean(), 1, 0, 1.0
         self.least = min(1.0, max(0.2, IN_LINE / settings.fleet_size))  # the lowest limit of a worker
         self.thin = False  # fewer own jobs than workers in the window, as of the last pick
@@ -577,8 +577,7 @@
             self.out.append(api.Subscribe())
         elif event.tag.startswith(("look ", "overdue ")):
             what, number, attempt = event.tag.split()
-            key = (int(number), int(attempt))
-            if (flight := self.flights.get(key)) is None or flight.dropped:
+            if (flight := self.flights.get(key := (int(number), int(attempt)))) is None or flight.dropped:
                 return
             if what == "look":
                 self._look(now, key, flight)
@@ -595,13 +594,14 @@
         room = safe or (keyed and any(now >= x.shut_us and not x.out and klass.group_of(x.entry) ==
                                       flight.group for x in self.seats.values()))
         if waiting and room and key[1] == 0 and now < job.until_us and self.moves >= 1:
-            due, self.moves = now, self.moves - 1  # moved freely, jobs that run on after it double the load
+            due = now  # own jobs can't tell where those of others are; a start that does not come does
         elif waiting and not klass.late_worth:  # a jam must not be spent on late answers
             due = job.aim_us + (klass.stretch - 1) * self.class_us[number] / 4
+            due = due if self.moves >= 1 or klass.repeat is api.Repeat.UNSAFE else max(due, job.until_us)
         elif klass.late_worth and safe and flight.heard_us and self.silence_us:
             due = flight.heard_us + self.silence_us
         if now >= due:
-            flight.dropped = True
+            flight.dropped, self.moves = True, self.moves - (now < job.until_us)
             self.out.append(api.Cancel(*key))
         elif due < inf:
             self.out.append(api.SetTimer(int(due - now) + 1, f"look {key[0]} {key[1]}"))
