--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -98,7 +98,7 @@
 
 
 def test_jobs_withdrawn_to_be_placed_again_keep_to_a_tenth_of_what_is_served() -> None:
-    """Withdrawn jobs ran on: placed again freely, four fifths of all work was for nobody (genova-sala, calm)."""
+    """Withdrawn jobs ran on: placed again freely, most work was for nobody (genova-sala, calm)."""
     node = Node(60, tells_start=True)
     due: list[tuple[int, str]] = []
     for _ in range(40):
