Answer a keyed job at once when its window ends, though an attempt had started

Seen: a keyed job that had started and was reset past its window was held on, up to the aim that grows with the time it ran, though no worker may serve it then. In _ended the longer aim was set after the window's end. Now the window's end is set last. The test fails without it (nothing was answered).

Ruled out by a test of random orders (12 seeds): a job whose client has gone, or that was answered, is never sent again from held, between attempts, by a timer or by a late outcome; no job has two attempts out.

--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -418,6 +418,11 @@
             self.jobs.pop(event.job, None)
         elif event.job in self.jobs:
             klass = self._class(job)
+            if flight.heard_us and not job.request.work_hint_us and not klass.late_worth:
+                # It started and did not end: it is at least as long as it ran, and its aim grows with that.
+                ran = now - flight.heard_us + self.usual_us[job.request.job_class]
+                until = int(job.aim_us + max(0.0, klass.stretch - 1) * ran)
+                job.until_us = min(job.end_us - 1, max(job.until_us, until))
             # Where workers shed work that they had begun, unsafe jobs ran twice after a 'full'.
             if not outcome.never_ran or (outcome is api.Outcome.FULL and self.s.full_may_have_run):
                 until = flight.sent_us + klass.memory_us
@@ -425,11 +430,6 @@
                 job.ran, job.group = True, flight.group
                 if klass.repeat is api.Repeat.KEYED:
                     job.until_us = min(job.until_us, job.group_until_us)  # past it no worker may serve it
-            if flight.heard_us and not job.request.work_hint_us and not klass.late_worth:
-                # It started and did not end: it is at least as long as it ran, and its aim grows with that.
-                ran = now - flight.heard_us + self.usual_us[job.request.job_class]
-                until = int(job.aim_us + max(0.0, klass.stretch - 1) * ran)
-                job.until_us = min(job.end_us - 1, max(job.until_us, until))
             if not job.pending:
                 over = outcome in (api.Outcome.TIMEOUT, api.Outcome.NOT_SENT)
                 over = over or (job.ran and klass.repeat is api.Repeat.UNSAFE)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,7 @@
 
 from robinhill import api
 
-from .conftest import MS, S, klass
+from .conftest import MS, Node, S, klass, only
 from .fleet import START, play
 
 O = api.Outcome  # noqa: E741
@@ -97,3 +97,70 @@
     )  # fmt: skip
     served = Counter(s.at_us // (5 * S) for s in sent if s.outcome is O.COMPLETED and zones[s.node])
     assert served[4] > 0.7 * served[3] > 50
+
+
+# Jobs that are over
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_a_job_that_is_over_is_never_sent_again(seed: int) -> None:
+    """Clients leave while their job is held, out, between attempts or being withdrawn; outcomes, starts and
+    timers come late and in any order."""
+    chance = random.Random(seed)
+    kinds = (SAFE, UNSAFE, klass(repeat=api.Repeat.KEYED, scope=api.Scope.ZONE, memory_us=300 * MS))
+    node = Node(
+        [api.Worker(f"w{i}", zone=i % 2) for i in range(3)], seed=seed, classes=kinds, tells_start=True,
+        probes=True, progress_us=100 * MS, waste_price=0.02,
+    )  # fmt: skip
+    over: set[int] = set()
+    out: dict[tuple[int, int], str] = {}
+    tries: Counter[int] = Counter()
+    timers: list[tuple[int, str]] = []
+    answered: Counter[int] = Counter()
+
+    def carry_out(actions: list[api.Action]) -> None:
+        for action in actions:
+            if isinstance(action, api.Send):
+                assert action.job not in over and not any(job == action.job for job, _ in out)
+                out[action.job, tries[action.job]] = action.address
+                tries[action.job] += 1
+            elif isinstance(action, api.Refuse | api.Fail):
+                assert action.job not in over
+                over.add(action.job)
+                answered[action.job] += 1
+            elif isinstance(action, api.SetTimer):
+                timers.append((node.now + action.after_us, action.tag))
+
+    for _ in range(600):
+        node.now += chance.randrange(40 * MS)
+        for timer in sorted(t for t in timers if t[0] <= node.now):
+            timers.remove(timer)
+            carry_out(node.do(api.TimerFired(timer[1])))
+        what = chance.random()
+        if what < 0.4:
+            job_class = chance.randrange(3)
+            carry_out(node.ask(left_us=chance.randrange(50 * MS, 3 * S), job_class=job_class))
+        elif what < 0.6 and (left := [j for j in range(1, node.jobs + 1) if j not in over]):
+            over.add(job := chance.choice(left))
+            carry_out(node.do(api.ClientGone(job)))
+        elif out:
+            key = chance.choice(sorted(out))
+            if chance.random() < 0.3:
+                carry_out(node.do(api.JobStarted(*key)))
+                continue
+            del out[key]
+            outcome = chance.choice(list(O))
+            final = outcome is O.COMPLETED or key[0] in over
+            over |= {key[0]} if final else set()
+            carry_out(node.do(api.AttemptEnded(*key, outcome, chance.randrange(S), final)))
+    assert tries.total() > 50 and max(answered.values()) == 1
+    assert set(node.balancer.jobs) == set(range(1, node.jobs + 1)) - over
+
+
+def test_a_keyed_job_whose_window_is_over_is_answered_though_it_ran_long() -> None:
+    """It had started, so its time was thought to be longer; held past its window, no worker could get it."""
+    keyed = klass(repeat=api.Repeat.KEYED, scope=api.Scope.ZONE, memory_us=300 * MS)
+    node = Node(2, classes=(keyed,), tells_start=True)
+    node.ask()
+    node.do(api.JobStarted(1, 0), MS)
+    assert only(node.end(1, O.RESET, after_us=400 * MS), api.Fail) == [api.Fail(1)]
