--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -2,13 +2,14 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 import pytest
 
 from robinhill import api
 
 from .conftest import MS, S, klass, settings
-from .fleet import START, Sent, fullest, play
+from .fleet import START, fullest, play
 
 O = api.Outcome  # noqa: E741
 
@@ -45,10 +46,10 @@
         self.workers = [api.Worker(f"w{i}") for i in range(workers)]
         self.rate, self.length = load * workers * slots / job_s, even(job_s)
         aim_us = max(100 * MS, int(3 * job_s * S))
-        self.changes: dict[str, object] = {"cold_us": 6 * S, "tip_after_us": 1 * S, **changes}
+        self.changes: dict[str, Any] = {"cold_us": 6 * S, "tip_after_us": 1 * S, **changes}
         self.changes["classes"] = (klass(aim_us=aim_us, deadline_us=20 * S),)
 
-    def play(self, cold: list[str], at_s: float, left: int = 0, **how: object) -> tuple[float, float]:
+    def play(self, cold: list[str], at_s: float, left: int = 0, **how: Any) -> tuple[float, float]:
         """The fullest of all windows of the workers that start cold at that moment, and their mean use."""
         chosen = settings(fleet_size=self.nodes, **self.changes)
         started = int(at_s * S)
@@ -58,10 +59,10 @@
         def answer(worker: str, at_us: int, chance: random.Random) -> tuple[O, int]:
             return O.COMPLETED, int(self.length(chance) * S) + 1
 
-        sent: list[Sent] = play(
-            self.nodes, self.workers, self.rate, at_s + chosen.cold_us / S, answer, (at_s, change), self.slots,
-            **how, **self.changes,
-        )  # type: ignore[arg-type]  # fmt: skip
+        sent = play(
+            self.nodes, self.workers, self.rate, at_s + chosen.cold_us / S, answer, (at_s, change),
+            self.slots, **how, **self.changes,
+        )  # fmt: skip
         found = [fullest(sent, name, started, self.slots / self.job_s, chosen) for name in cold]
         return max(worst for worst, _ in found), sum(used for _, used in found) / len(found)
 
@@ -78,7 +79,8 @@
     nodes: int, job_s: float, slots: int, cold_from: float, multiple: float, tip_ms: int
 ) -> None:
     site = Site(
-        nodes, 8, job_s, slots, cold_from=cold_from, fall_multiple=multiple, tip_after_us=tip_ms * MS, cold_us=5 * S
+        nodes, 8, job_s, slots, cold_us=5 * S,
+        cold_from=cold_from, fall_multiple=multiple, tip_after_us=tip_ms * MS,
     )  # fmt: skip
     # Each has met each warm worker before: till then these, which it knows nothing of, go first.
     worst, used = site.play(NEW, max(5.0, 2 * nodes * 8 / site.rate))
