Read on while a request is answered, so that a client that floods and goes has gone at once

Seen: a client sends a request, then 32 or more further requests, bytes that are no HTTP, or an Upgrade and more than 256 KiB, and closes. aiohttp's server pauses the transport when its queue of messages or its tail is full (web_protocol.py, _pause_reading_for_buffer), so the end of the connection lay unread until the answer, and the request went on to its first attempt for a client that had gone. At fault: Connection let the server pause reading while a request is answered. Three of the four shapes in the test hung without this; half a request and much more behind it was noticed before, too, and stays in the test.

Now such a connection reads on and drops what comes; its request gets its answer, the excess one log line and 400. Up to 31 requests at once are still answered one by one. While a request is read the pause stays as it was: there the read of the body ends it.

Also, a connection whose next whole request is queued behind an answer no longer counts as idle: a retirement in that instant ended it.

--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -39,6 +39,7 @@
 # What stands for a request that another process has read already; aiohttp then does the rest as ever.
 ADOPTED = b"POST / HTTP/1.1\r\nHost: -\r\nContent-Length: 0\r\n\r\n"
 LATE = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+EXCESS = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
 class _Phase(Enum):
@@ -64,13 +65,16 @@
     def close(self) -> None:
         self._connection.end()
 
+    def pause_reading(self) -> None:
+        self._connection.pause()
+
 
 class Connection(web.RequestHandler):
     """One client connection."""
 
     __slots__ = (
-        "_more", "_phase", "_since", "_timer", "_wire", "adopted", "calls_back", "handed", "listener",
-        "useful",
+        "_excess", "_more", "_phase", "_since", "_timer", "_wire", "adopted", "calls_back", "handed",
+        "listener", "useful",
     )  # fmt: skip
 
     def __init__(self, listener: "Listener", loop: asyncio.AbstractEventLoop, **kwargs: Any) -> None:
@@ -82,6 +86,7 @@
         self.handed = False  # it has gone to another process
         self._phase, self._since = _Phase.WAITING, loop.time()
         self._more = False  # bytes have come that no request took yet
+        self._excess = False  # more has come behind a request than is kept; what comes is dropped
         self._wire: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
 
@@ -101,6 +106,8 @@
         if self._phase is _Phase.ENDING:
             self._since = self._loop.time()
             return
+        if self._excess:
+            return
         if data:
             self._more = True
             if self._phase is _Phase.IDLE:
@@ -114,12 +121,35 @@
         self.useful |= useful
         self._more = False
         self._enter(_Phase.BUSY)
+        if self._wire and not self._wire.is_reading():
+            self._exceed()
+
+    def pause(self) -> None:
+        """The server wants no more bytes now."""
+        if self._wire and self._phase is _Phase.BUSY:
+            self._exceed()
+        elif self._wire:
+            self._wire.pause_reading()
+
+    def _exceed(self) -> None:
+        """Read on while a request is answered, and keep nothing: the peer's end lies behind what it sent."""
+        assert self._wire
+        log.warning(
+            "malformed", extra={"peer": self.peer(), "status": 400, "why": "too much behind a request"}
+        )
+        self._excess = self._more = True
+        self._messages.clear()
+        self._wire.resume_reading()
 
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
         finished = await super().finish_response(request, resp, start_time)
-        if self._phase is _Phase.BUSY and self._more:
+        if self._excess and self._wire and self._phase is _Phase.BUSY:
+            if finished[0].keep_alive:
+                self._wire.write(EXCESS)
+            self.end()
+        elif self._phase is _Phase.BUSY and (self._more or self._messages):
             self._wait()  # a part of the next request may be here already
         elif self._phase is not _Phase.ENDING:
             self._enter(_Phase.IDLE)
