Tell that a client has gone whose connection ended while it changed hands

Seen: a request is handed to the successor process together with its client's descriptor. If the end of that connection is in the kernel already when the successor first reads, aiohttp's server ends its task and the handler never begins, so nobody reported that the client had gone: its request went on to a first attempt long after. Lines at fault: Listener.adopt returned True as soon as the stand-in request was fed, and Inbound.adopt reported only on False. A reset in the same instant was noticed already (no peer name); it stays in the test.

Listener.adopt now returns once the request is claimed here, or False if the connection was lost before.

--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -73,8 +73,8 @@
     """One client connection."""
 
     __slots__ = (
-        "_excess", "_more", "_phase", "_since", "_timer", "_wire", "adopted", "calls_back", "handed",
-        "listener", "useful",
+        "_adopted", "_excess", "_known", "_more", "_phase", "_since", "_timer", "_wire", "calls_back",
+        "handed", "listener", "useful",
     )  # fmt: skip
 
     def __init__(self, listener: "Listener", loop: asyncio.AbstractEventLoop, **kwargs: Any) -> None:
@@ -82,7 +82,8 @@
         self.listener = listener
         self.useful = False  # it has carried a job or an endpoint's call
         self.calls_back = False  # it is an endpoint's
-        self.adopted: object = None  # what it carries from the process that it was in before
+        self._adopted: object = None  # what it carries from the process that it was in before
+        self._known: asyncio.Future[bool] | None = None  # whether that is answered here
         self.handed = False  # it has gone to another process
         self._phase, self._since = _Phase.WAITING, loop.time()
         self._more = False  # bytes have come that no request took yet
@@ -100,6 +101,8 @@
         self._wire = None
         self._enter(_Phase.ENDING)
         self.listener.open.discard(self)
+        if self._known and not self._known.done():
+            self._known.set_result(False)  # the server has not come to it, and never will
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -230,6 +233,24 @@
             return None
         return os.dup(self._wire.get_extra_info("socket").fileno())
 
+    async def adopt(self, carried: object) -> bool:
+        """Answer what it carries from another process; False if its peer ends it before that begins."""
+        if self._wire is None:
+            return False
+        self._adopted, self._known = carried, self._loop.create_future()
+        self.data_received(ADOPTED)
+        return await self._known
+
+    def take_adopted(self) -> object:
+        """What it carries, once, claimed to be answered; else None."""
+        if (carried := self._adopted) is None:
+            return None
+        self._adopted = None
+        self.claim(useful=True)
+        if self._known and not self._known.done():
+            self._known.set_result(True)
+        return carried
+
     def forget(self) -> None:
         """It is another process's now: our descriptor closes, the connection stays."""
         self.handed = True
@@ -341,11 +362,7 @@
         except OSError:
             sock.close()
             return False
-        if connection.peer() == "?":
-            return False
-        connection.adopted = carried
-        connection.data_received(ADOPTED)
-        return True
+        return await connection.adopt(carried)
 
     def close(self) -> None:
         """Accept no more; end what is open."""
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -87,10 +87,8 @@
             # Our successor is at the same address: a no on a connection to us would keep clients from it.
             ready = self.ready or (self.succeeded and not self.drained)
             return self._respond(Answer(200 if ready else 503, b"", close=True))
-        if adopted := connection_of(request).adopted:
+        if adopted := connection_of(request).take_adopted():
             assert isinstance(adopted, _Answering)
-            connection_of(request).adopted = None
-            connection_of(request).claim(useful=True)
             return await self._answer(connection_of(request), adopted)
         if request.method != "POST":
             return reject(request, 405, "jobs come by POST")
@@ -185,9 +183,7 @@
             told = await release(owed.request)
             if told is None:
                 connection.stay()
-            elif await send(
-                told | {"request": messages.write_handed(owed.request)}, connection.hand_over()
-            ):
+            elif await send(told | {"request": messages.write_handed(owed.request)}, connection.hand_over()):
                 connection.forget()
             else:
                 connection.stay()
@@ -204,4 +200,3 @@
         if not self.ready or answer.close:
             response.force_close()
         return response
-
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -8,8 +8,16 @@
 import pytest
 from aiohttp import web
 
+from robinhill.config import Address, Config
 from robinhill.net.actor import Supervisor
+from robinhill.net.clock import Clock
 from robinhill.net.connections import Listener, connection_of
+from robinhill.net.decider import ClientLeft, Taken
+from robinhill.net.figures import Figures
+from robinhill.net.inbound import Inbound
+from robinhill.net.messages import Answer, DestinationList, JobEvent, JobRequest
+
+from .conftest import settings
 
 PATIENCE_S = 5.0
 JOB = b"POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: 4\r\n\r\nwork"
@@ -134,3 +142,41 @@
             assert here.claimed == 1
 
     run(play)
+
+
+def inbound(report: Callable[[Taken | ClientLeft], None], sockets: int = 64) -> Inbound:
+    """The client side by itself; who reads what it reports answers for the decider."""
+    nowhere = Address("127.0.0.1", 1)
+    known = DestinationList(0, True, ())
+    config = Config("n1", nowhere, nowhere, None, None, 7, sockets, None, known, settings(), ("x",), (), ())
+
+    async def deliver(event: JobEvent) -> None:
+        raise AssertionError(event)
+
+    return Inbound(config, Supervisor(), Clock(), Figures(("x",)), report, deliver)
+
+
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_client_that_goes_while_its_connection_changes_hands_has_gone(reset: bool) -> None:
+    """The end of its connection waits in the kernel when the process that takes over first looks."""
+
+    async def play() -> None:
+        told: list[Taken | ClientLeft] = []
+        here = inbound(told.append)
+        listening = socket.create_server(("127.0.0.1", 0))
+        client = socket.create_connection(listening.getsockname())
+        ours, _ = listening.accept()
+        if reset:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        client.close()
+        request = JobRequest("a", 0, 5_000_000, False, "/x", b"work", ())
+        reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        await here.adopt(request, reply, ours.detach())
+        while told != [ClientLeft(request)]:
+            assert not told
+            await asyncio.sleep(0)
+        assert not here.owed
+        listening.close()
+        await here.close()
+
+    run(play)
