Answer what is here in the instant in which a connection or the program ends

Ruled out by tests that pass on both trees: retire and spare leave a resting connection alone on which a request has just arrived; what is read behind our shutdown is never sent on. Also ruled out by reading: the small last write held back, as both asyncio and aiohttp set TCP_NODELAY on each accepted socket.

--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -31,9 +31,12 @@
 ACCEPT_BATCH = 16  # connections accepted or closed in one go: floods take turns with everything else
 ACCEPT_PAUSE_S = 0.05  # when there is no room
 REQUEST_S = 2.5  # a request must be here whole so long after its first byte, the first one after the accept
+GRACE_S = 0.05  # for what has come in the instant in which its time is up
 LINGER_S = 3.0  # how long what a peer still sends is read and dropped behind its last answer
 FRONT_S = 0.5  # after a no at /ready new connections still come for so long
 SWEEP_S = 0.25  # how often idle connections are looked for while they are being closed
+LEAVE_S = 0.01  # how often connections are looked at while all of them are being ended
+FLUSH_S = 0.25  # for peers to end theirs then: a process that exits resets what has bytes unread
 NEW_S = 0.25  # a connection without a request is not closed to make room before this: it may be on its way
 YOUNG_RANK, LAST_RANK = 3, 4
 # What stands for a request that another process has read already; aiohttp then does the rest as ever.
@@ -74,7 +77,7 @@
 
     __slots__ = (
         "_adopted", "_excess", "_known", "_more", "_phase", "_since", "_timer", "_wire", "calls_back",
-        "handed", "listener", "useful",
+        "dropped", "handed", "listener", "useful",
     )  # fmt: skip
 
     def __init__(self, listener: "Listener", loop: asyncio.AbstractEventLoop, **kwargs: Any) -> None:
@@ -85,6 +88,7 @@
         self._adopted: object = None  # what it carries from the process that it was in before
         self._known: asyncio.Future[bool] | None = None  # whether that is answered here
         self.handed = False  # it has gone to another process
+        self.dropped = False  # its descriptor closes in the loop's next turn
         self._phase, self._since = _Phase.WAITING, loop.time()
         self._more = False  # bytes have come that no request took yet
         self._excess = False  # more has come behind a request than is kept; what comes is dropped
@@ -181,6 +185,7 @@
 
     def drop(self) -> None:
         """Close at once; only for what `spare` has named."""
+        self.dropped = True
         if self._wire:
             self._wire.abort()
 
@@ -190,30 +195,36 @@
         Last come idle connections that have carried jobs: their clients lose nothing, but must open another.
         They stay while others, now too young to go, need only a moment.
         """
-        if self._phase is _Phase.BUSY:
+        if self._wire is None or self.dropped or self._phase is _Phase.BUSY:
             return None
+        unsent = self._wire.get_write_buffer_size() and now - self._since < LINGER_S
+        if unsent or self._unread():
+            return (YOUNG_RANK, self._since)  # a close would cut its answer off, or reset it
         if self._phase is _Phase.ENDING:
             return (0 if now - self._since >= NEW_S else YOUNG_RANK, self._since)
-        if self._unread():
-            return (YOUNG_RANK, self._since)
         if self._phase is _Phase.WAITING:
             return (1 if now - self._since >= NEW_S else YOUNG_RANK, self._since)
         return (LAST_RANK if self.useful else 2, self._since)
 
     def retire(self, now: float) -> None:
         """End it if it is a client's and carries nothing; what is on its way will be sent elsewhere."""
+        if not self.calls_back and self.resting(now):
+            self.end()
+
+    def resting(self, now: float) -> bool:
+        """It carries nothing, and nothing waits to be read."""
         quiet = self._phase is _Phase.IDLE or (
             self._phase is _Phase.WAITING and not self._more and now - self._since >= NEW_S
         )
-        if quiet and not self.calls_back and not self._unread():
-            self.end()
+        return quiet and not self._messages and not self._unread()
 
-    @property
-    def halfway(self) -> bool:
-        """A part of a request is here, or waits to be read."""
-        return (self._phase is _Phase.WAITING and self._more) or (
-            self._phase in (_Phase.WAITING, _Phase.IDLE) and self._unread()
-        )
+    def unsettled(self, now: float) -> bool:
+        """A request is here, in part or whole, or may be on its way; or an answer has not left."""
+        if self._wire is None:
+            return False
+        if self._phase is _Phase.ENDING:
+            return self._wire.get_write_buffer_size() > 0
+        return not self.resting(now)
 
     def hold(self) -> bool:
         """Read no further, so that it can go to another process; False if it must stay."""
@@ -274,15 +285,33 @@
         self._enter(_Phase.WAITING)
         self._timer = self._loop.call_later(REQUEST_S, self._late)
 
-    def _late(self) -> None:
+    def _late(self, grace: bool = True) -> None:
         """The peer has sent nothing, or a part of a request and no more."""
         if self._wire is None or self._phase is not _Phase.WAITING:
             return
+        if self._whole() or (grace and self._unread()):
+            self._timer = self._loop.call_later(GRACE_S, self._late, False)
+            return
         if self._more:
             log.warning("malformed", extra={"peer": self.peer(), "status": 408, "why": "half a request"})
             self._wire.write(LATE)
         self.end()
 
+    def _whole(self) -> bool:
+        """A whole request has been read that the handler has not come to."""
+        if self._messages:
+            return self._messages[0][1].is_eof()
+        if self._current_request is not None:
+            return self._current_request.content.is_eof()
+        return self._more and self._waiter is None  # its handler is about to begin
+
+    def _process_keepalive(self) -> None:
+        """Its time of rest is up; that of one that rests no more, or not yet, is looked at again."""
+        if self._phase in (_Phase.WAITING, _Phase.IDLE) and not self.resting(self._loop.time()):
+            self._keepalive_handle = self._loop.call_later(GRACE_S, self._process_keepalive)
+        else:
+            super()._process_keepalive()
+
     def peer(self) -> str:
         return str((self._wire.get_extra_info("peername") or "?")[0]) if self._wire else "?"
 
@@ -350,7 +379,7 @@
     def share(self, budget: int) -> None:
         """Keep to another budget from now on: the idlest connections go until it is kept."""
         self.budget = budget
-        while len(self.open) > budget and self._make_room():
+        while sum(not c.dropped for c in self.open) > budget and self._make_room():
             pass
 
     async def adopt(self, fd: int, carried: object) -> bool:
@@ -373,6 +402,25 @@
         for connection in list(self.open):
             connection.end()
 
+    async def leave(self) -> None:
+        """End connections between requests, and those that carry one behind its answer; then `close`."""
+        begun = flushed = self._loop.time()
+        while True:
+            if self._socket and self.accepting:
+                self._accept()  # what is left in the kernel's queue would be reset
+            now = self._loop.time()
+            for connection in list(self.open):
+                if connection.resting(now):
+                    connection.end()
+            if self._coming or any(c.unsettled(now) for c in self.open):
+                flushed = now
+                if now - begun >= REQUEST_S + GRACE_S:
+                    break
+            elif not self.open or now - flushed >= FLUSH_S:
+                break
+            await asyncio.sleep(LEAVE_S)
+        self.close()
+
     def retire_idle(self) -> None:
         """End clients' connections that are between requests."""
         now = self._loop.time()
@@ -392,8 +440,11 @@
     def _accept(self) -> None:
         assert self._socket
         for _ in range(ACCEPT_BATCH):
-            if len(self.open) + self._coming >= self.budget and not self._make_room():
-                return self._pause()
+            if len(self.open) + self._coming >= self.budget:
+                # What is dropped has its descriptor until the loop's next turn; who comes waits till then.
+                if not self._make_room():
+                    self._pause()
+                return
             try:
                 sock, _ = self._socket.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -423,9 +474,8 @@
         if not going and not self._coming and spare and spare[0][0][0] == LAST_RANK:
             going = [c for _, c in spare[:1]]  # what is coming may be silent, and goes first then
         for connection in going:
-            self.open.discard(connection)
             connection.drop()
-        return bool(going)
+        return any(c.dropped for c in self.open)
 
 
 def inherit(fd: int) -> socket.socket:
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -77,6 +77,10 @@
         self._listener.listen(sock)
 
     async def close(self) -> None:
+        """Refuse what still comes, let its answers leave, and end; at once where answers are owed."""
+        self.leaving = self.closed_to_new = True
+        if not self.owed:
+            await self._listener.leave()
         self._listener.close()
         await self._listener.shutdown(1.0)
 
@@ -167,8 +171,9 @@
 
     @property
     def settled(self) -> bool:
-        """Whether nothing is owed, and no request is half here."""
-        return not self.owed and not any(connection.halfway for connection in self._listener.open)
+        """Whether nothing is owed, and no request is half here or may be on its way."""
+        now = asyncio.get_running_loop().time()
+        return not self.owed and not any(c.unsettled(now) for c in self._listener.open)
 
     async def hand_over(
         self,
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -35,7 +35,6 @@
 
 Json = dict[str, Any]
 TAKE_ON_S = 0.7  # after SIGTERM: what still arrives in this time is taken
-FLUSH_S = 0.05  # for the last answers to leave
 HAND_OVER_S = 0.05  # how often what is owed is looked at while a successor takes it
 LIST_S = 1.5  # for discovery's first answer, where clients wait for it; older lists count meanwhile
 START_S = 0.9  # an operator's call to a process that still starts is answered no after it
@@ -195,7 +194,7 @@
         """Take requests a little longer, then refuse new ones, until all that was taken is answered.
 
         The listener stays up: endpoints call back at the clients' address. Where a successor has it, that one
-        also takes what is owed.
+        also takes what is owed. `close` answers what is half here then.
         """
         log.info("draining", extra={"owed": self.inbound.owed})
         self.inbound.leaving = True
@@ -205,7 +204,6 @@
         self.inbound.closed_to_new = True
         log.info("refusing", extra={"owed": self.inbound.owed})
         await self.inbound.none_owed.wait()
-        await asyncio.sleep(FLUSH_S)
 
     async def _leave_to_successor(self) -> bool:
         """Whether there was one until all was settled."""
@@ -214,7 +212,6 @@
         while self.inbound.succeeded:
             await self.inbound.hand_over(self._release, self._send_over)
             if self.inbound.settled:
-                await asyncio.sleep(FLUSH_S)
                 return self.inbound.succeeded
             await asyncio.sleep(HAND_OVER_S)
         if self.door:
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -1,7 +1,9 @@
 """Client connections that end, with something else arriving in that very instant; each crossing is forced."""
 
 import asyncio
+import os
 import socket
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
@@ -9,13 +11,15 @@
 from aiohttp import web
 
 from robinhill.config import Address, Config
+from robinhill.net import connections, scheduler
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
-from robinhill.net.connections import Listener, connection_of
+from robinhill.net.connections import Connection, Listener, connection_of
 from robinhill.net.decider import ClientLeft, Taken
 from robinhill.net.figures import Figures
 from robinhill.net.inbound import Inbound
 from robinhill.net.messages import Answer, DestinationList, JobEvent, JobRequest
+from robinhill.net.scheduler import Scheduler
 
 from .conftest import settings
 
@@ -180,3 +184,264 @@
         await here.close()
 
     run(play)
+
+
+async def only(listener: Listener) -> Connection:
+    """The one connection there is."""
+    while not listener.open:
+        await asyncio.sleep(0)
+    (connection,) = listener.open
+    return connection
+
+
+def arrive(connection: Connection, sock: socket.socket, data: bytes) -> None:
+    """Bring bytes into the kernel's buffer of our side while the loop stands still."""
+    sock.sendall(data)
+    while not connection._unread():
+        pass
+
+
+def test_a_request_whose_last_byte_comes_as_its_time_is_up_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Both in one turn of the loop: the byte is read first, and the handler has yet to begin."""
+    monkeypatch.setattr(connections, "REQUEST_S", 0.05)
+
+    async def play() -> None:
+        async with door() as here:
+            here.let.set()
+            sock = here.client()
+            sock.sendall(JOB[:-1])
+            connection = await only(here.listener)
+            await here.until(lambda: connection._more)
+            arrive(connection, sock, JOB[-1:])
+            due = connection._since + connections.REQUEST_S
+            time.sleep(max(0.0, due - asyncio.get_running_loop().time()) + 0.01)  # the loop stands still
+            await here.until(lambda: connection.useful)
+            sock.shutdown(socket.SHUT_WR)
+            assert await answer(sock) == (200, b"done")
+
+    run(play)
+
+
+@pytest.mark.parametrize("first", [b"", JOB[:-1]], ids=["whole", "last byte"])
+def test_a_request_that_waits_to_be_read_when_its_time_is_up_is_answered(first: bytes) -> None:
+    async def play() -> None:
+        async with door() as here:
+            here.let.set()
+            sock = here.client()
+            connection = await only(here.listener)
+            if first:
+                sock.sendall(first)
+                await here.until(lambda: connection._more)
+            arrive(connection, sock, JOB[len(first) :])
+            connection._late()
+            await here.until(lambda: connection.useful)
+            sock.shutdown(socket.SHUT_WR)
+            assert await answer(sock) == (200, b"done")
+
+    run(play)
+
+
+@pytest.mark.parametrize("read", [True, False])
+def test_a_request_that_begins_as_a_connection_has_rested_enough_is_answered(read: bool) -> None:
+    async def play() -> None:
+        async with door() as here:
+            here.let.set()
+            sock = here.client()
+            sock.sendall(JOB)
+            connection = await only(here.listener)
+            await here.until(lambda: connection._waiter is not None and connection.useful)
+            arrive(connection, sock, JOB[:20])
+            if read:
+                await here.until(lambda: connection._more)
+            connection._next_keepalive_close_time = 0.0
+            connection._process_keepalive()
+            sock.sendall(JOB[20:])
+            await here.until(lambda: here.claimed == 2)
+            sock.shutdown(socket.SHUT_WR)
+            status, rest = await answer(sock)
+            assert status == 200 and rest.count(b"200 OK") == 1
+
+    run(play)
+
+
+@pytest.mark.parametrize("by", ["retire", "spare"])
+def test_a_resting_connection_on_which_a_request_has_just_arrived_stays(by: str) -> None:
+    """A close would reset it, and a request that is read behind a shutdown must go nowhere."""
+
+    async def play() -> None:
+        async with door(budget=1) as here:
+            here.let.set()
+            sock = here.client()
+            sock.sendall(JOB)
+            connection = await only(here.listener)
+            await here.until(lambda: connection._waiter is not None and connection.useful)
+            arrive(connection, sock, JOB)
+            if by == "retire":
+                here.listener.retire_idle()
+            else:
+                assert not here.listener._make_room()
+            await here.until(lambda: here.claimed == 2)
+            sock.shutdown(socket.SHUT_WR)
+            status, rest = await answer(sock)
+            assert status == 200 and rest.count(b"200 OK") == 1
+
+    run(play)
+
+
+def test_a_request_that_crosses_the_shutdown_of_its_connection_goes_nowhere() -> None:
+    """Its client reads the end without an answer and sends it again elsewhere."""
+
+    async def play() -> None:
+        async with door() as here:
+            here.let.set()
+            sock = here.client()
+            sock.sendall(JOB)
+            connection = await only(here.listener)
+            await here.until(lambda: connection._waiter is not None and connection.useful)
+            here.listener.retire_idle()
+            assert (await answer(sock))[0] == 200
+            sock.sendall(JOB)
+            while not connection._unread():
+                await asyncio.sleep(0)
+            sock.shutdown(socket.SHUT_WR)
+            await here.until(lambda: not here.listener.open)
+            assert here.claimed == 1
+
+    run(play)
+
+
+def test_an_answer_that_has_not_left_is_not_cut_off_to_make_room() -> None:
+    """Its client reads slowly; the connection has ended, but the rest of its answer is still ours."""
+    size = 60_000
+
+    async def play() -> None:
+        async with door(budget=1) as here:
+
+            async def much(request: web.BaseRequest) -> web.StreamResponse:
+                await request.read()
+                connection_of(request).claim(useful=False)
+                response = web.Response(body=b"x" * size)
+                response.force_close()
+                return response
+
+            here.listener.handler = much
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(here.address)
+            sock.setblocking(False)
+            connection = await only(here.listener)
+            assert connection._wire
+            ours = connection._wire.get_extra_info("socket")
+            ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            sock.sendall(JOB)
+            await here.until(lambda: connection._phase is connections._Phase.ENDING)
+            assert connection._wire.get_write_buffer_size()
+            connection._since -= 2 * connections.NEW_S
+            assert not here.listener._make_room()
+            status, rest = await answer(sock)
+            assert status == 200 and len(rest) == size
+            sock.close()
+
+    run(play)
+
+
+def test_who_comes_waits_for_the_descriptors_of_those_that_make_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Sixteen more than the budget were open for a turn of the loop: discovery's call found no descriptor."""
+    monkeypatch.setattr(connections, "NEW_S", 0.0)
+
+    async def play() -> None:
+        async with door(budget=16) as here:
+            idle = [here.client() for _ in range(16)]
+            await here.until(lambda: len(here.listener.open) == 16)
+            more = [here.client() for _ in range(16)]
+            before, most = len(os.listdir("/proc/self/fd")), 0
+            here.listener._loop.remove_reader(here.socket)
+
+            def accept() -> None:
+                nonlocal most
+                here.listener._accept()
+                most = max(most, len(os.listdir("/proc/self/fd")))
+
+            here.listener._loop.add_reader(here.socket, accept)
+            sock = more[-1]
+            sock.sendall(JOB)
+            await here.until(lambda: here.claimed == 1)
+            assert most <= before
+            for each in idle + more:
+                each.close()
+
+    run(play)
+
+
+@asynccontextmanager
+async def program() -> AsyncIterator[tuple[Scheduler, Address]]:
+    """The whole program in this process, with neither workers nor discovery."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen = Address(*free.getsockname())
+    known = DestinationList(0, True, ())
+    chosen = settings(must_subscribe=True)
+    nowhere = Address("127.0.0.1", 1)
+    made = Scheduler(Config("n1", listen, nowhere, None, None, 7, 64, None, known, chosen, ("x",), (), ()))
+    await made.start()
+    try:
+        yield made, listen
+    finally:
+        await made.close()
+
+
+def job(wire_id: str) -> bytes:
+    """A whole request of the program's only class."""
+    return (
+        f"POST /x HTTP/1.1\r\nHost: s\r\nX-Request-ID: {wire_id}\r\nX-Priority-Class: x\r\n"
+        "Content-Length: 4\r\n\r\nwork"
+    ).encode()
+
+
+def test_a_request_that_is_half_here_when_nothing_is_owed_any_more_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The program went 0.05 s after its last answer, and the rest of the request met a closed connection."""
+    monkeypatch.setattr(scheduler, "TAKE_ON_S", 0.0)
+
+    async def play() -> None:
+        async with program() as (here, listen):
+            sock = socket.create_connection((listen.host, listen.port))
+            sock.setblocking(False)
+            sock.sendall(job("a")[:-1])
+            connection = await only(here.inbound._listener)
+            while not connection._more:
+                await asyncio.sleep(0)
+            await here.drain()
+            closing = asyncio.create_task(here.inbound.close())
+            await asyncio.sleep(0)
+            await asyncio.get_running_loop().sock_sendall(sock, job("a")[-1:])
+            status, rest = await answer(sock)
+            assert status == 503 and rest.startswith(b"refused")
+            sock.close()
+            await closing
+
+    run(play)
+
+
+@pytest.mark.parametrize("kept", [True, False])
+def test_a_request_that_waits_to_be_read_when_the_program_closes_is_answered(kept: bool) -> None:
+    """On a connection that has rested, and on one that waits to be accepted."""
+
+    async def play() -> None:
+        async with program() as (here, listen):
+            sock = socket.create_connection((listen.host, listen.port))
+            if kept:
+                connection = await only(here.inbound._listener)
+                arrive(connection, sock, job("a"))
+            else:
+                sock.sendall(job("a"))
+            sock.setblocking(False)
+            closing = asyncio.create_task(here.inbound.close())
+            status, rest = await answer(sock)
+            assert status == 503 and rest.startswith(b"refused")
+            sock.close()
+            await closing
+
+    run(play)
