--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -77,6 +77,10 @@
         self._listener.listen(sock)
 
     async def close(self) -> None:
+        """Refuse what still comes, let its answers leave, and end; at once where answers are owed."""
+        self.leaving = self.closed_to_new = True
+        if not self.owed:
+            await self._listener.leave()
         self._listener.close()
         await self._listener.shutdown(1.0)
 
@@ -87,10 +91,8 @@
             # Our successor is at the same address: a no on a connection to us would keep clients from it.
             ready = self.ready or (self.succeeded and not self.drained)
             return self._respond(Answer(200 if ready else 503, b"", close=True))
-        if adopted := connection_of(request).adopted:
+        if adopted := connection_of(request).take_adopted():
             assert isinstance(adopted, _Answering)
-            connection_of(request).adopted = None
-            connection_of(request).claim(useful=True)
             return await self._answer(connection_of(request), adopted)
         if request.method != "POST":
             return reject(request, 405, "jobs come by POST")
@@ -169,8 +171,9 @@
 
     @property
     def settled(self) -> bool:
-        """Whether nothing is owed, and no request is half here."""
-        return not self.owed and not any(connection.halfway for connection in self._listener.open)
+        """Whether nothing is owed, and no request is half here or may be on its way."""
+        now = asyncio.get_running_loop().time()
+        return not self.owed and not any(c.unsettled(now) for c in self._listener.open)
 
     async def hand_over(
         self,
@@ -185,9 +188,7 @@
             told = await release(owed.request)
             if told is None:
                 connection.stay()
-            elif await send(
-                told | {"request": messages.write_handed(owed.request)}, connection.hand_over()
-            ):
+            elif await send(told | {"request": messages.write_handed(owed.request)}, connection.hand_over()):
                 connection.forget()
             else:
                 connection.stay()
@@ -204,4 +205,3 @@
         if not self.ready or answer.close:
             response.force_close()
         return response
-
