Read a link to its end though our own words fail, and tell what was never sent

Seen by reading: Link._write closed the link on EPIPE at once, so a descriptor that the other process had sent before its death was dropped unread, with its client's connection; and LinkLostError did not tell an ask that never went out whole, and so can't have been heard, from one that may have been. Both are forced in tests/test_link.py: the other end says its word and closes while ours is about to be written. Lines at fault: Link._write, except OSError; Link.close, set_exception. Ruled out: a message half sent that counts as heard (a line acts only once it has ended; half sent it is taken for sent, the careful side).

--- a/robinhill/net/link.py
+++ b/robinhill/net/link.py
@@ -25,7 +25,11 @@
 
 
 class LinkLostError(Exception):
-    """The other process has gone."""
+    """The other process has gone. What was not ``sent`` whole has never come to it."""
+
+    def __init__(self, sent: bool) -> None:
+        super().__init__(sent)
+        self.sent = sent
 
 
 class Link:
@@ -45,7 +49,8 @@
         self._loop = asyncio.get_running_loop()
         self._numbers = count(1)
         self._asked: dict[int, asyncio.Future[Json]] = {}
-        self._outbox: asyncio.Queue[tuple[bytes, int | None]] = asyncio.Queue()
+        self._sent: set[int] = set()  # of these, those that the other may have heard
+        self._outbox: asyncio.Queue[tuple[bytes, int | None, int]] = asyncio.Queue()
         self._buffer = bytearray()
         self._fds: deque[int] = deque()
         self._loop.add_reader(sock, self._read)
@@ -56,15 +61,16 @@
         if self.lost.is_set():
             if fd is not None:
                 os.close(fd)
-            raise LinkLostError
+            raise LinkLostError(False)
         number = next(self._numbers)
         answer: asyncio.Future[Json] = self._loop.create_future()
         self._asked[number] = answer
-        self._put({"ask": number, "what": what, "fd": fd is not None, "body": body or {}}, fd)
+        self._put({"ask": number, "what": what, "fd": fd is not None, "body": body or {}}, fd, number)
         try:
             return await answer
         finally:
             self._asked.pop(number, None)
+            self._sent.discard(number)
 
     def close(self) -> None:
         if self.lost.is_set():
@@ -73,29 +79,33 @@
         self._loop.remove_reader(self.sock)
         self._writer.cancel()
         self.sock.close()
-        for answer in self._asked.values():
+        for number, answer in self._asked.items():
             if not answer.done():
-                answer.set_exception(LinkLostError())
+                answer.set_exception(LinkLostError(number in self._sent))
         for fd in self._fds:
             os.close(fd)
         while not self._outbox.empty():
-            _, unsent = self._outbox.get_nowait()
+            _, unsent, _ = self._outbox.get_nowait()
             if unsent is not None:
                 os.close(unsent)
 
-    def _put(self, message: Json, fd: int | None = None) -> None:
-        self._outbox.put_nowait((orjson.dumps(message) + b"\n", fd))
+    def _put(self, message: Json, fd: int | None = None, number: int = 0) -> None:
+        self._outbox.put_nowait((orjson.dumps(message) + b"\n", fd, number))
 
     async def _write(self) -> None:
         while True:
-            data, fd = await self._outbox.get()
+            data, fd, number = await self._outbox.get()
             try:
                 if fd is not None:
                     data = data[await self._send_with(data, fd) :]
+                if number in self._asked:
+                    self._sent.add(number)  # its last byte may go out from here on
                 await self._loop.sock_sendall(self.sock, data)
             except OSError as e:
+                # Only the other's end can be the reason. What it said before that is still to be read, and a
+                # descriptor that came with it is ours alone now: the reader closes the link behind it.
                 log.debug("link_broke", extra={"why": str(e)})
-                self._loop.call_soon(self.close)
+                self._sent.discard(number)
                 return
 
     async def _send_with(self, data: bytes, fd: int) -> int:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,5 +1,6 @@
 """Two processes of different versions may not understand each other: neither must end for that."""
 
+import array
 import asyncio
 import os
 import socket
@@ -54,3 +55,58 @@
         await supervisor.close()
 
     asyncio.run(play())
+
+
+def test_what_the_other_process_said_before_its_end_is_heard_though_our_own_words_fail() -> None:
+    """A descriptor among it is ours alone by then."""
+
+    async def play() -> None:
+        here, there = socket.socketpair()
+        supervisor = Supervisor()
+        heard: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+
+        async def take(link: Link, what: str, body: dict[str, Any], fd: int | None) -> dict[str, Any]:
+            assert fd is not None
+            heard.set_result(os.read(fd, 4).decode())
+            os.close(fd)
+            return {}
+
+        mine = Link(here, supervisor, take)
+        reader, writer = os.pipe()
+        os.write(writer, b"pipe")
+        ask = asyncio.create_task(mine.ask("a"))
+        await asyncio.sleep(0)  # it is about to be written
+        rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [reader]))]
+        there.sendmsg([b'{"ask":1,"what":"b","fd":true,"body":{}}\n'], rights)
+        there.close()
+        async with asyncio.timeout(10):
+            with pytest.raises(LinkLostError) as lost:
+                await ask
+            assert not lost.value.sent
+            assert await heard == "pipe"
+        with pytest.raises(LinkLostError) as lost:
+            await mine.ask("c")
+        assert not lost.value.sent and not supervisor.failed.done()
+        for fd in (reader, writer):
+            os.close(fd)
+        await supervisor.close()
+
+    asyncio.run(play())
+
+
+def test_an_ask_that_was_sent_whole_may_have_been_heard() -> None:
+    async def play() -> None:
+        here, there = socket.socketpair()
+        supervisor = Supervisor()
+        mine = Link(here, supervisor, serve)
+        there.setblocking(False)
+        ask = asyncio.create_task(mine.ask("a"))
+        async with asyncio.timeout(10):
+            assert await asyncio.get_running_loop().sock_recv(there, 1000)
+            there.close()
+            with pytest.raises(LinkLostError) as lost:
+                await ask
+        assert lost.value.sent
+        await supervisor.close()
+
+    asyncio.run(play())
