Write nothing for a client that has gone, and take no unasked bytes for an answer

An attempt whose connect was still coming up was written as soon as it was up, however long after. It is called off at once now, and _CheckedRequest.send asks once more: client, time, withdrawal, list and, for a keyed repeat, the window, which was looked at only when the repeat was decided. A request whose client has gone before the decider comes to it is not placed. - aiohttp keeps bytes that come on a resting connection and takes them for the answer to the next request (BaseConnector._get asks only whether the transport is open): a late second answer of 503 and X-Not-Processed "proved" that a request which the worker was running never ran. A kept connection with anything unasked on it, read or unread, is not used again. - An answer without end was read without limit, until the client's own limit; one that stops short held the request as long. Now 64 KiB, and 2 s from the head on, except for a 202, which counts from its head. - An answer outside the protocol's table left its connection open: the job was not given up. It is closed now. - A DELETE answered with 5xx passed for a confirmation. - An attempt given up just before the client's limit waited for its DELETE, up to two connect time-outs, past that limit. It ends at the limit now. - decider._gone dropped an attempt that the endpoint had let go if its client had left meanwhile: neither ended nor forgotten. - _retired stopped an endpoint that had been told of a resumed attempt in that very instant: its client never got an answer. And an endpoint that let its last attempt go never retired.

Ruled out: exceptions of aiohttp that would end the program (33 kinds of spoilt answer, none uncaught before or after); a spoilt or cut answer taken for "never ran"; a Dispatch to an endpoint whose id comes back in the instant of its retirement (the mailbox order keeps it).

--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -136,13 +136,18 @@
     deadline_us: int
     reply: asyncio.Future[Answer]
     owed: bool = True
-    out: int = 0  # attempts that are out
+    out: set[int] = field(default_factory=set)  # attempts that are out
     began_us: int = 0  # when the attempt that is out began to run; 0: not that we know of
     endpoints: list[str] = field(default_factory=list)  # of each attempt so far
     endings: list[str] = field(default_factory=list)  # what became of each that is over, for the log
     returned: list[str] = field(default_factory=list)  # endpoints that handed it back
     leaving: asyncio.Future[Json | None] | None = None  # while it is to go to another process
 
+    @property
+    def wanted(self) -> bool:
+        """Whether its client still waits. One that has gone shows in the reply before it is told."""
+        return self.owed and not self.reply.cancelled()
+
 
 class Decider(Actor[ToDecider]):
     """Carries events to the module and its actions to the endpoints and the inbound side."""
@@ -280,6 +285,8 @@
         self.seen[request.id] = None
         if len(self.seen) > SEEN_IDS:
             del self.seen[next(iter(self.seen))]
+        if taken.reply.cancelled():
+            return  # its client has come and gone
         job = self.jobs[request.id] = self.next_number
         self.next_number += 1
         deadline_us = taken.arrived_us + request.time_left_us
@@ -302,12 +309,22 @@
         number = len(held.endpoints)
         held.endpoints.append(action.address)
         held.began_us = 0
-        held.out += 1
-        final = until_us >= held.deadline_us
+        held.out.add(number)
         self._remember(held.request, (action.job, number), action.address)
         if self.door and number == 0:
             self.door(Placed(held.request))
-        self.endpoints[action.address].tell(ep.Dispatch(action.job, number, held.request, until_us, final))
+        self.endpoints[action.address].tell(
+            ep.Dispatch(
+                action.job, number, held.request, until_us, held.deadline_us,
+                self._write_until(held), lambda: held.wanted,
+            )
+        )  # fmt: skip
+
+    def _write_until(self, held: _Held) -> int:
+        """A connect can outlast the window in which workers drop a repeat of a keyed request."""
+        klass, job = self.config.settings.classes[held.request.job_class], self.balancer.jobs.get(held.job)
+        repeats = job is not None and job.ran and klass.repeat is api.Repeat.KEYED
+        return job.group_until_us if job and repeats else held.deadline_us
 
     def _remember(self, request: JobRequest, attempt: tuple[int, int], address: str) -> None:
         """From now on it may run: where a repeat of its key is dropped."""
@@ -329,7 +346,9 @@
 
     def _ended(self, ended: ep.Ended) -> None:
         held = self.held[ended.job]
-        held.out -= 1
+        if held.reply.cancelled():
+            self._client_left(held.request)
+        held.out.discard(ended.attempt)
         endpoint = held.endpoints[ended.attempt]
         if self.tape:
             self.tape.attempted(held.request, endpoint, ended.outcome, ended.took_us, held.began_us)
@@ -371,6 +390,9 @@
             if held.leaving:
                 self._stay(held)
             self._decide(api.ClientGone(held.job))
+            for attempt in held.out:
+                if endpoint := self.endpoints.get(held.endpoints[attempt]):
+                    endpoint.tell(ep.ClientGone(held.job, attempt))
             self._forget(held)
 
     def _forget(self, held: _Held) -> None:
@@ -428,9 +450,9 @@
         # What endpoints have said of it is before this in the endpoint's mailbox, and its ending before the
         # answer in ours.
         endpoint = self.endpoints.get(held.endpoints[-1]) if held.out else None
-        if held.out == 0:
+        if not held.out:
             self._gone(held.job, None)
-        elif held.out == 1 and endpoint:
+        elif len(held.out) == 1 and endpoint:
             endpoint.tell(ep.LetGo(held.job, held.request.id))
         else:
             self._stay(held)
@@ -448,9 +470,11 @@
 
     def _gone(self, job: int, attempt: ep.Resume | None) -> None:
         held = self.held.get(job)
-        if held is None or held.leaving is None:
+        if held is None:
             return  # it has ended meanwhile
-        if held.leaving.done() or not held.owed or held.out > (attempt is not None):
+        leaves = held.leaving and not held.leaving.done() and held.owed
+        if held.leaving is None or not leaves or len(held.out) > (attempt is not None):
+            # Its client has gone meanwhile, or it was answered: what is out ends here.
             self._stay(held)
             if attempt:
                 self.endpoints[held.endpoints[-1]].tell(attempt)
@@ -464,7 +488,11 @@
             "endings": held.endings,
             "returned": held.returned,
             "attempt": attempt
-            and {"until_us": attempt.until_us, "final": attempt.final, "sent_us": attempt.sent_us},
+            and {
+                "until_us": attempt.until_us,
+                "final": attempt.until_us >= attempt.deadline_us,  # a process of an older version asks for it
+                "sent_us": attempt.sent_us,
+            },
             "destination": attempt and messages.write_destination(self.destinations[held.endpoints[-1]]),
             "module": module,
             "timers": [[at, due.tag] for due, at in self._timers.items() if memory.concerns(due.tag, job)],
@@ -482,12 +510,13 @@
         self.held[job], self.jobs[request.id] = held, job
         if attempt := told["attempt"]:
             address = held.endpoints[-1]
-            held.out = 1
+            held.out = {len(held.endpoints) - 1}
             if (endpoint := self.endpoints.get(address)) is None:  # it has left the list meanwhile
                 left = messages.read_destination(told["destination"] | {"lifecycle": "left"})
                 self.destinations[address] = left
                 endpoint = self._open(left)
-            endpoint.tell(ep.Resume(job=job, attempt=len(held.endpoints) - 1, request=request, **attempt))
+            number, until_us = len(held.endpoints) - 1, attempt["until_us"]
+            endpoint.tell(ep.Resume(job, number, request, until_us, held.deadline_us, attempt["sent_us"]))
         for address in held.returned:
             if endpoint := self.endpoints.get(address):
                 endpoint.tell(ep.Returned(request.id))
@@ -633,7 +662,9 @@
 
     def _retired(self, instance_id: str) -> None:
         destination = self.destinations.get(instance_id)
-        if destination and destination.lifecycle is Lifecycle.LEFT:
+        # What was told to it meanwhile is not lost: with its ending the endpoint says so again.
+        busy = any(held.endpoints[n] == instance_id for held in self.held.values() for n in held.out)
+        if destination and destination.lifecycle is Lifecycle.LEFT and not busy:
             del self.destinations[instance_id]
             endpoint = self.endpoints.pop(instance_id)
             endpoint.stop()
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -1,15 +1,20 @@
 """An endpoint: the actor that owns the attempts at one worker, their connections, cancels and probes."""
 
 import asyncio
+import fcntl
 import logging
+import struct
+import termios
 from collections.abc import Callable, Coroutine
 from contextvars import ContextVar
 from dataclasses import dataclass
 from enum import Enum, auto
+from functools import partial
 from typing import Any
 
 import aiohttp
-from aiohttp.client_reqrep import ClientResponse
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.client_reqrep import ClientResponse, ConnectionKey
 from aiohttp.connector import Connection
 from yarl import URL
 
@@ -26,7 +31,8 @@
     0.6  # idle connections close at this share of the endpoint's own limit: no send may meet its close
 )
 PROBE_TIMEOUT_S = 1.0
-LINGER_S = 2.0  # how long a connection waits for the 202 of a job that is over
+LINGER_S = 2.0  # how long a connection waits for the 202 of a job that is over, or for an answer's end
+_SPOILT = (aiohttp.ClientPayloadError, aiohttp.ClientResponseError)  # what an endpoint sends wrong
 _ENDINGS = {JobState.FAILED: Outcome.ERROR, JobState.RETURNED: Outcome.FULL, JobState.LOST: Outcome.RESET}
 
 
@@ -35,13 +41,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Dispatch:
-    """Start an attempt; it is given up at ``until_us``, at the client's own limit if ``final``."""
+    """Start an attempt; it is given up at ``until_us``, and over at the client's own limit.
+
+    Nothing of it is written from ``write_until_us`` on, nor once ``wanted`` says that no answer is owed.
+    """
 
     job: int
     attempt: int
     request: JobRequest
     until_us: int
-    final: bool
+    deadline_us: int
+    write_until_us: int
+    wanted: Callable[[], bool]
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,6 +63,14 @@
     attempt: int
 
 
+@dataclass(slots=True, frozen=True)
+class ClientGone:
+    """An attempt's client has gone: if nothing of it is written, nothing will be."""
+
+    job: int
+    attempt: int
+
+
 @dataclass(slots=True, frozen=True)
 class Probe:
     """Ask the endpoint for its health."""
@@ -78,7 +97,7 @@
     attempt: int
     request: JobRequest
     until_us: int
-    final: bool
+    deadline_us: int
     sent_us: int
 
 
@@ -150,9 +169,13 @@
     number: int
     request: JobRequest
     until_us: int
-    final: bool
+    deadline_us: int
     sent_us: int
+    write_until_us: int = 0
+    wanted: Callable[[], bool] = lambda: True
     phase: _Phase = _Phase.CONNECTING
+    wire: "_Wire | None" = None  # where it was written
+    whole: bool = False  # its last byte is written
     exchange: asyncio.Task[Any] | None = None
     timer: asyncio.TimerHandle | None = None
     over: bool = False
@@ -182,31 +205,105 @@
 
 
 ToEndpoint = (
-    Dispatch | Withdraw | LetGo | Resume | Returned | Destination | JobEvent | Probe | CloseIdle
+    Dispatch | Withdraw | ClientGone | LetGo | Resume | Returned | Destination | JobEvent | Probe | CloseIdle
     | _Over | _Expired | _CallDone
 )  # fmt: skip
 
 
+class _Wire(ResponseHandler):
+    """A connection to an endpoint, which is to speak only when asked: whatever else comes ends it.
+
+    aiohttp would keep such bytes and take them for the answer to the next request.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._asked = False
+
+    @property
+    def fit(self) -> bool:
+        """Whether it may carry another request."""
+        return self.is_connected() and not self.should_close and not self._unread()
+
+    def ask(self) -> None:
+        """A request is about to be written."""
+        self._asked = True
+
+    def rest(self) -> None:
+        """Its answer has ended."""
+        self._asked = False
+
+    def data_received(self, data: bytes) -> None:
+        if self._asked or not data:
+            super().data_received(data)
+        elif self.is_connected():
+            self._end()
+
+    def _unread(self) -> bool:
+        assert self.transport
+        sock = self.transport.get_extra_info("socket")
+        if not (count := struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4))[0]):
+            return False
+        self._end()
+        return bool(count)
+
+    def _end(self) -> None:
+        assert self.transport
+        peer = self.transport.get_extra_info("peername") or ("?", 0)
+        log.warning("unasked_answer", extra={"endpoint": f"{peer[0]}:{peer[1]}"})
+        self.transport.abort()
+
+
+def _wire(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
+    return _Wire(loop)
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Gives out kept connections as long as they are fit to carry another request."""
+
+    def __init__(self, retire_s: float) -> None:
+        super().__init__(limit=0, limit_per_host=0, keepalive_timeout=retire_s)
+        self._factory = partial(_wire, asyncio.get_running_loop())
+
+    async def _get(self, key: ConnectionKey, traces: list[Any]) -> Connection | None:
+        while connection := await super()._get(key, traces):
+            if isinstance(connection.protocol, _Wire) and connection.protocol.fit:
+                return connection
+            connection.close()
+        return None
+
+
 class _NotWrittenError(Exception):
-    """The endpoint may get nothing new by now; not a byte of the request went out."""
+    """An attempt may not go out any more; not a byte of it did."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        super().__init__(outcome.value)
+        self.outcome = outcome
 
 
 _current: ContextVar[tuple["Endpoint", _Attempt] | None] = ContextVar("current attempt", default=None)
 
 
 class _CheckedRequest(aiohttp.ClientRequest):
-    """Looks at the list again once a connection is there, at the moment of the write.
+    """Looks again once a connection is there, at the moment of the write, whether the attempt may go out.
 
-    A connect takes up to its time-out, in which the endpoint may have been told to leave; and up to here
-    nothing is written, which is what proves that a job never ran.
+    A connect takes up to its time-out, in which the endpoint may have been told to leave, the client may
+    have gone or the attempt's time may be up; and up to here nothing is written, which is what proves that a
+    job never ran.
     """
 
     async def send(self, conn: Connection) -> ClientResponse:
+        wire = conn.protocol
+        assert isinstance(wire, _Wire)
         if current := _current.get():
             endpoint, attempt = current
-            if attempt.over or not endpoint.open:
-                raise _NotWrittenError
+            endpoint.check(attempt)
+            if not wire.fit:  # a new one may have ended or spoken by now
+                raise _NotWrittenError(Outcome.CONNECT_FAILED)
+            attempt.wire = wire
             attempt.phase = _Phase.WRITTEN
+        wire.ask()
+        conn.add_callback(wire.rest)
         response = await super().send(conn)
         if not self.body:
             self._count()
@@ -220,7 +317,9 @@
     def _count(self) -> None:
         """The last byte of an attempt is written; cancels and probes are none."""
         if current := _current.get():
-            current[0].figures.tries += 1
+            endpoint, attempt = current
+            attempt.whole = True
+            endpoint.figures.tries += 1
 
 
 class Endpoint(Actor[ToEndpoint]):
@@ -258,9 +357,22 @@
             self.may_send is None or self.may_send(self.destination)
         )
 
+    def check(self, attempt: _Attempt) -> None:
+        """Raise if an attempt of which nothing is written may not go out now."""
+        now = self.clock.now_us()
+        if not attempt.wanted():
+            raise _NotWrittenError(Outcome.NOT_SENT)
+        if now >= attempt.until_us:
+            raise _NotWrittenError(Outcome.TIMEOUT)
+        if attempt.over or attempt.withdrawn:
+            raise _NotWrittenError(Outcome.CANCELLED)
+        # A repeat that comes behind its window would be a second effect.
+        if not self.open or now >= attempt.write_until_us:
+            raise _NotWrittenError(Outcome.CONNECT_FAILED)
+
     def _new_session(self) -> aiohttp.ClientSession:
         session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, limit_per_host=0, keepalive_timeout=self.retire_s),
+            connector=_Connector(self.retire_s),
             request_class=_CheckedRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=self.connect_timeout_s),
@@ -279,6 +391,8 @@
                 self._job_event(message)
             case Withdraw():
                 self._withdraw(message)
+            case ClientGone():
+                self._client_gone(message)
             case LetGo():
                 self._let_go(message)
             case Resume():
@@ -320,8 +434,11 @@
     # Attempts
 
     def _dispatch(self, message: Dispatch) -> None:
-        request, now = message.request, self.clock.now_us()
-        attempt = _Attempt(message.job, message.attempt, request, message.until_us, message.final, now)
+        request = message.request
+        attempt = _Attempt(
+            message.job, message.attempt, request, message.until_us, message.deadline_us, self.clock.now_us(),
+            message.write_until_us, message.wanted,
+        )  # fmt: skip
         self.attempts[request.id] = attempt
         self._limit(attempt)
         attempt.exchange = self.supervisor.spawn(self._exchange(attempt), f"attempt {request.id}")
@@ -339,14 +456,16 @@
                 attempt.timer.cancel()
             del self.attempts[message.request_id]
             gone = Resume(
-                attempt.job, attempt.number, attempt.request, attempt.until_us, attempt.final, attempt.sent_us
-            )
+                attempt.job, attempt.number, attempt.request,
+                attempt.until_us, attempt.deadline_us, attempt.sent_us,
+            )  # fmt: skip
         self.report(Gone(message.job, gone))
+        self._retire()
 
     def _resume(self, message: Resume) -> None:
         attempt = _Attempt(
-            message.job, message.attempt, message.request, message.until_us, message.final, message.sent_us,
-            _Phase.ACCEPTED,
+            message.job, message.attempt, message.request, message.until_us, message.deadline_us,
+            message.sent_us, phase=_Phase.ACCEPTED,
         )  # fmt: skip
         self.attempts[message.request.id] = attempt
         self._limit(attempt)
@@ -358,15 +477,30 @@
         headers = dict(request.headers)
         headers[messages.TIMEOUT] = messages.write_timeout(attempt.until_us - self.clock.now_us())
         try:
+            self.check(attempt)
             async with self.session.post(
                 self._url(request.target), data=request.body, headers=headers, allow_redirects=False
             ) as response:
+                if not attempt.whole and attempt.wire is not None:
+                    attempt.wire.close()
+                    raise aiohttp.ClientPayloadError("an answer before the request was whole")
                 # Told before the rest of the answer: a cancel from now on is a DELETE.
                 if response.status == 202:
                     attempt.phase = _Phase.ACCEPTED
-                await response.read()
-        except (_NotWrittenError, aiohttp.ClientError, OSError, TimeoutError) as e:
-            log.debug("attempt_broke", extra={"id": request.id, "endpoint": self.name, "why": repr(e)})
+                    await _read_rest(response)
+                elif response.status in (500, 503, 504):
+                    async with asyncio.timeout(LINGER_S):
+                        await _read_rest(response)
+                elif attempt.wire is not None:
+                    attempt.wire.close()  # the endpoint may have the job, and is to give it up
+        except _NotWrittenError as e:
+            log.debug("attempt_unwritten", extra={"id": request.id, "endpoint": self.name, "why": str(e)})
+            self.tell(_Over(attempt, e.outcome))
+            return
+        except (aiohttp.ClientError, OSError, TimeoutError) as e:
+            spoilt = isinstance(e, _SPOILT) or type(e) is TimeoutError
+            event, level = ("spoilt_answer", logging.WARNING) if spoilt else ("attempt_broke", logging.DEBUG)
+            log.log(level, event, extra={"id": request.id, "endpoint": self.name, "why": repr(e)})
             if attempt.phase is not _Phase.ACCEPTED:
                 unwritten = attempt.phase is _Phase.CONNECTING
                 self.tell(_Over(attempt, Outcome.CONNECT_FAILED if unwritten else Outcome.RESET))
@@ -394,7 +528,8 @@
         exchange = attempt.exchange
         if exchange and not exchange.done():
             # Its 202 may still come and free the connection; from a silent endpoint it never does.
-            asyncio.get_running_loop().call_later(LINGER_S, exchange.cancel)
+            linger_s = 0.0 if attempt.phase is _Phase.CONNECTING else LINGER_S
+            asyncio.get_running_loop().call_later(linger_s, exchange.cancel)
         if self.attempts.get(attempt.request.id) is attempt:
             del self.attempts[attempt.request.id]
         took_us = self.clock.now_us() - attempt.sent_us
@@ -425,13 +560,25 @@
             del self.endings[next(iter(self.endings))]
 
     def _expired(self, attempt: _Attempt) -> None:
-        if attempt.final and not attempt.over:
+        if attempt.over:
+            return
+        if attempt.until_us >= attempt.deadline_us:
             # The client's answer is due now; it is not sent again. The cancel is under way when the ending is
             # told: an endpoint that has left and holds nothing is closed, and a DELETE after that is a fault.
-            self._call(self._call_off(attempt), f"cancel {attempt.request.id}")
+            if not attempt.withdrawn:
+                self._call(self._call_off(attempt), f"cancel {attempt.request.id}")
             self._end(attempt, Outcome.TIMEOUT)
         else:
             self._give_up(attempt, Outcome.TIMEOUT)
+            # A cancel takes its time where the endpoint is silent, and the client's answer is due in time.
+            attempt.until_us = attempt.deadline_us
+            self._limit(attempt)
+
+    def _client_gone(self, message: ClientGone) -> None:
+        for attempt in list(self.attempts.values()):
+            found = (attempt.job, attempt.number) == (message.job, message.attempt)
+            if found and attempt.phase is _Phase.CONNECTING and not attempt.withdrawn:
+                self._end(attempt, Outcome.NOT_SENT)
 
     def _withdraw(self, message: Withdraw) -> None:
         for attempt in self.attempts.values():
@@ -472,14 +619,17 @@
             async with self.session.delete(
                 self._url(messages.cancel_target(wire_id)), timeout=timeout
             ) as response:
-                await response.read()
-                return True
+                await _read_rest(response)
+                if response.status < 500:
+                    return True
+                why = str(response.status)  # whatever became of the job, this does not say
         except (aiohttp.ClientError, OSError, TimeoutError) as e:
-            log.warning(
-                "cancel_unanswered",
-                extra={"endpoint": self.destination.instance_id, "id": wire_id, "why": repr(e)},
-            )
-            return False
+            why = repr(e)
+        log.warning(
+            "cancel_unanswered",
+            extra={"endpoint": self.destination.instance_id, "id": wire_id, "why": why},
+        )
+        return False
 
     # The rest
 
@@ -487,7 +637,7 @@
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S, sock_connect=self.connect_timeout_s)
         try:
             async with self.session.get(self._url("/health"), timeout=timeout) as response:
-                await response.read()
+                await _read_rest(response)
                 alive = True  # 503 too: it drains, and finishes what it has
         except (aiohttp.ClientError, OSError, TimeoutError):
             alive = False
@@ -508,6 +658,14 @@
         await self.session.close()
 
 
+async def _read_rest(response: ClientResponse) -> None:
+    """Nobody needs the body of an answer; one that is longer than any may be ends its connection."""
+    left = messages.MAX_BODY
+    async for data in response.content.iter_any():
+        if (left := left - len(data)) < 0:
+            raise aiohttp.ClientPayloadError(f"a body of more than {messages.MAX_BODY} bytes")
+
+
 async def _close_after(session: aiohttp.ClientSession, carried: list[asyncio.Task[Any]]) -> None:
     if carried:
         await asyncio.wait(carried)
