Let the pace alone decide when discovery is called again, within half of what counts as told

Seen: only a silent watch had a bound (Pace.lost, urgent_us). After a reset, a refusal, a failed or given-up call the module's back-off decided: half to all of min(ask_every / 2, 50 ms x fleet) for each try, 5 s for 200 schedulers, and then the wait at discovery; a new process waited up to 5 s as well. A change counts as told 6 s after discovery had it and could be reached.

Now whenever there is no working watch the next call begins in the first half of that time, at a random moment that scales with the fleet (listing.py); the second half is for the queue at discovery, which fails calls that wait 2 s or so. Calls that waited before they failed, and one quick failure, leave the running time as it is; further quick ones are an outage, and the time counts from the last call in it. Settings that make schedulers ask more often than every 6 s shorten it. The module still hears of failed calls; its Subscribe has no effect, and the message Watch is gone.

Tests replaced, as the rule they held to has changed: one said that a watch which ends is the module's matter and that no call follows; now a call has to follow unasked, and the module is still told. The one on calls after silence asked for four calls in 6 s and a bound of 15 s; now the first call has to begin within 3 s of the last word and no wait may be longer than 3 s, for 1, 6 and 200 schedulers.

--- a/robinhill/listing.py
+++ b/robinhill/listing.py
@@ -1,19 +1,26 @@
-"""When a watch on discovery's list is broken, and when to call again. Decisions only: no input or output.
+"""When the watch on discovery's list is broken, and when to call again. Decisions only: no input or output.
 
-The module decides when to ask after a call that failed; it knows how many schedulers share one discovery. A
-watch that has fallen silent is another matter: what it missed counts as told at a fixed time after it fell
-silent, so there the next call can't wait for its turn among the others. Where lists are pushed by an agent
-beside the scheduler, what the agent has counts at once, and nobody else is slowed by a call.
+A change counts as told a fixed time after discovery had it and could be reached, whatever became of our
+calls. So whenever there is no working watch the next call begins in the first half of that time; the second
+half is for the wait at discovery, which handles calls one after another. Within the first half each call has
+a random moment, as hundreds of schedulers lose their watches in one instant and find discovery back in one
+instant. The module has a back-off of its own for calls that fail; nothing waits for it.
+
+Where lists are pushed by an agent beside the scheduler, what the agent has counts at once, and nobody else is
+slowed by a call.
 """
 
 import random
 from dataclasses import dataclass
 
+from robinhill import api
+
 WORD_US = 2_500_000  # an empty line comes every 2 s; half a second for a late one
 CALL_US = 3_500_000  # discovery itself fails calls that wait too long, after 2 or 3 s: this one is lost
-TOLD_US = 6_000_000  # what a silent watch missed counts as told so long after it fell silent
-AGAIN_US = 250_000  # the longest first wait before another call; it doubles
-MOST_US = 1_000_000
+TOLD_US = 6_000_000  # a change counts as told so long after discovery had it and could be reached
+WAITED_US = 1_500_000  # a call that fails sooner did not wait in discovery's queue
+EACH_US = 50_000  # the spread of calls for each scheduler that may be calling too; it doubles
+AGAIN_US = 250_000  # the spread where the first half is over
 AGENT_US = 100_000  # the same for an agent that pushes: within the half second that drains may leave
 AGENT_MOST_US = 200_000
 
@@ -24,34 +31,58 @@
 
     pushed: bool
     random: random.Random
+    fleet_size: int
+    told_us: int = TOLD_US
+    due_us: int = 0  # by then the list must be here, as far as we know when discovery could be reached
     heard_us: int = 0  # the last whole word: a list, or an empty line
-    urgent_us: int = 0  # until then another call must not wait for its turn
     called_us: int = 0
     tries: int = 0  # calls in a row that were lost
 
+    def started(self, now_us: int) -> int:
+        """How long to wait before the first call: the list that a process starts with may be old."""
+        self.due_us = now_us + self.told_us
+        return 0 if self.pushed else self._spread(now_us)
+
+    def moved(self, now_us: int) -> None:
+        """Another address is called from now on, and at once."""
+        self.due_us, self.tries = now_us + self.told_us, 0
+
     def called(self, now_us: int) -> None:
         """A call is on its way."""
         self.heard_us, self.called_us = 0, now_us
 
     def heard(self, now_us: int) -> None:
         """A whole list or an empty line is here; half of one counts for nothing, however it trickles."""
-        self.heard_us, self.tries, self.urgent_us = now_us, 0, 0
+        self.heard_us, self.tries = now_us, 0
 
     def silent_at(self) -> int:
         """When the open call or watch is broken unless a word comes before."""
         return self.heard_us + WORD_US if self.heard_us else self.called_us + CALL_US
 
-    def lost(self, now_us: int, silent: bool) -> int | None:
-        """How long to wait before the next call; None: that is the module's decision, by its own back-off."""
+    def lost(self, now_us: int) -> int:
+        """How long to wait before the next call, now that a call has failed or a watch has ended."""
+        if self.heard_us:
+            # It may have fallen silent right after its last word or any time since, even if it was reset now.
+            self.due_us = self.heard_us + self.told_us
+        elif self.tries > 1 and now_us - self.called_us < WAITED_US:
+            # Down: what it learns counts from its return on. One that waited longer had reached it, and one
+            # quick failure may be the network's: then the time that was running goes on.
+            self.due_us = self.called_us + self.told_us
         self.tries += 1
         if self.pushed:
-            return self._jitter(AGENT_US, AGENT_MOST_US)
-        if silent:
-            # It may have fallen silent right after its last word or any time since.
-            self.urgent_us = max(self.urgent_us, now_us + TOLD_US)
-        return self._jitter(AGAIN_US, MOST_US) if now_us < self.urgent_us else None
-
-    def _jitter(self, first_us: int, most_us: int) -> int:
-        """Half to all of a wait that doubles: many watches fall silent at the same moment."""
-        wait = min(most_us, first_us << min(self.tries - 1, 6))
-        return int(wait * (0.5 + self.random.random() / 2))
+            wait = min(AGENT_MOST_US, AGENT_US << min(self.tries - 1, 1))
+            return int(wait * (0.5 + self.random.random() / 2))
+        return self._spread(now_us)
+
+    def _spread(self, now_us: int) -> int:
+        """A random wait; before a first call it may be none at all, later calls are kept apart."""
+        most = max(AGAIN_US, self.due_us - self.told_us // 2 - now_us)
+        wait = min(most, EACH_US * self.fleet_size << min(max(0, self.tries - 1), 6))
+        least = 0.5 if self.tries > 1 else 0.0
+        return int(wait * (least + (1 - least) * self.random.random()))
+
+
+def by_settings(settings: api.Settings, chance: random.Random) -> Pace:
+    """Without a watch, changes count once the time to ask again is over, should that be the sooner."""
+    told_us = min(TOLD_US, settings.ask_every_us)
+    return Pace(not settings.must_subscribe, chance, settings.fleet_size, told_us)
--- a/robinhill/net/destinations.py
+++ b/robinhill/net/destinations.py
@@ -23,11 +23,6 @@
 LONGEST_LIST = 4 << 20  # some 20,000 workers
 
 
-@dataclass(slots=True, frozen=True)
-class Watch:
-    """Open a watch, unless one is open. When to ask again after a failure is the module's decision."""
-
-
 @dataclass(slots=True, frozen=True)
 class Move:
     """Discovery is at another address from now on."""
@@ -39,10 +34,10 @@
     """No whole word came in time."""
 
 
-class Destinations(Actor[Watch | Move]):
-    """One watch at a time; each that ends or fails is told to the module as a failed call.
+class Destinations(Actor[Move]):
+    """One watch at a time, from the start on; ``pace`` alone decides when another is opened.
 
-    One that falls silent is opened anew by ``pace`` alone, and so is each one where lists are pushed.
+    The module hears of each call that fails and each watch that ends, but for silent ones and agents.
     """
 
     def __init__(
@@ -64,47 +59,41 @@
 
     def start(self) -> None:
         super().start()
-        if self.pace.pushed:  # the module does not ask where lists come by themselves
-            self.tell(Watch())
+        self._open(self.pace.started(self.clock.now_us()))
 
-    def receive(self, message: Watch | Move) -> None:
-        if isinstance(message, Move):
-            self._move(message.discovery)
-        if self.watch is None or self.watch.done():
-            self.watch = self.supervisor.spawn(self._watch(), "watch")
-
-    def _move(self, discovery: Address) -> None:
+    def receive(self, message: Move) -> None:
         """Leave the old address at once: waiting for its end would cost what is told meanwhile.
 
         A cancelled watch reports nothing, so its end is no failure of the new one. A version counts the
         changes of the list at one discovery; nothing says that another address counts alike, and one that is
         behind would answer "no changes" for ever. So the new address is asked for its whole list.
         """
-        if discovery == self.discovery:
+        if message.discovery == self.discovery:
             return
         if self.watch:
             self.watch.cancel()
-        self.discovery, self.generation, self.watch = discovery, None, None
+        self.discovery, self.generation = message.discovery, None
+        self.pace.moved(self.clock.now_us())
+        self._open(0)
+
+    def _open(self, wait_us: int) -> None:
+        self.watch = self.supervisor.spawn(self._watch(wait_us), "watch")
 
-    async def _watch(self) -> None:
-        wait_us: int | None = 0
-        while wait_us is not None:
+    async def _watch(self, wait_us: int) -> None:
+        while True:
             await asyncio.sleep(wait_us / 1e6)
-            silent = False
             self.pace.called(self.clock.now_us())
+            silent, why = False, "ended"
             try:
                 await self._read()
-                why = "ended"
             except _SilentError:
                 silent, why = True, "silent"
             except (aiohttp.ClientError, OSError, messages.MalformedError) as e:
                 why = f"{type(e).__name__}: {e}"
-            wait_us = self.pace.lost(self.clock.now_us(), silent)
-            log.warning(
-                "watch_lost", extra={"generation": self.generation, "why": why, "again_us": wait_us or 0}
-            )
-        self.watch = None
-        self.report(Listed(None))
+            wait_us = self.pace.lost(self.clock.now_us())
+            log.warning("watch_lost", extra={"generation": self.generation, "why": why, "again_us": wait_us})
+            if not (silent or self.pace.pushed):
+                self.report(Listed(None))
 
     async def _read(self) -> None:
         query = {"watch": "1"}
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -10,14 +10,14 @@
 from typing import TYPE_CHECKING, Any
 
 from robinhill import config as configuration
+from robinhill import listing
 from robinhill.config import Config, OperatorFile
-from robinhill.listing import Pace
 from robinhill.net import logs, messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
 from robinhill.net.connections import bind, inherit
 from robinhill.net.decider import Adopt, Decider, HoldOut, Release, Taken
-from robinhill.net.destinations import Destinations, Move, Watch
+from robinhill.net.destinations import Destinations, Move
 from robinhill.net.figures import Figures
 from robinhill.net.inbound import Inbound
 from robinhill.net.link import LinkLostError
@@ -52,10 +52,9 @@
         self.clock = Clock(config.clock_offset_us)
         self.supervisor = Supervisor()
         self.figures = Figures(config.classes)
-        self.decider = Decider(
-            config, self.supervisor, self.clock, self.figures, lambda: self.destinations.tell(Watch())
-        )
-        pace = Pace(not config.settings.must_subscribe, random.Random(config.seed))
+        # The list is watched from the start on, whether or not the module asks for it.
+        self.decider = Decider(config, self.supervisor, self.clock, self.figures, lambda: None)
+        pace = listing.by_settings(config.settings, random.Random(config.seed))
         self.destinations = Destinations(
             config.discovery, config.known.generation, pace, self.clock, self.supervisor, self.decider.tell
         )
--- a/tests/test_destinations.py
+++ b/tests/test_destinations.py
@@ -14,7 +14,7 @@
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
 from robinhill.net.decider import Listed
-from robinhill.net.destinations import Destinations, Move, Watch
+from robinhill.net.destinations import Destinations, Move
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 Handler = Callable[[asyncio.StreamWriter], Awaitable[None]]
@@ -49,20 +49,24 @@
             list(reader.feed(b'{"instances": [\n' + b" " * 20))
 
 
-def test_after_silence_the_next_call_comes_within_what_counts_as_told() -> None:
-    pace = Pace(False, random.Random(1))
-    pace.called(0)
-    pace.heard(10_000_000)  # and right after it the watch falls silent
-    now, calls = pace.silent_at(), 0
-    while (wait := pace.lost(now, silent=calls == 0)) is not None:
-        now += wait
-        pace.called(now)
-        now, calls = now + 20_000, calls + 1  # refused at once
-        assert calls < 100
-    assert calls >= 4 and pace.silent_at() <= 10_000_000 + listing.TOLD_US + 9_000_000
-    # one that merely ends is the module's matter
-    pace.heard(now)
-    assert pace.lost(now + 1, silent=False) is None
+@pytest.mark.parametrize("fleet_size", [1, 6, 200])
+def test_after_silence_the_next_call_comes_within_what_counts_as_told(fleet_size: int) -> None:
+    for seed in range(20):
+        pace = Pace(False, random.Random(seed), fleet_size)
+        pace.called(0)
+        pace.heard(10_000_000)  # and right after it the watch falls silent
+        now = pace.silent_at()
+        first = now + pace.lost(now)
+        assert first <= 10_000_000 + listing.TOLD_US // 2  # the other half is for the wait at discovery
+        now, calls = first, 0
+        while now <= 16_000_000:
+            pace.called(now)
+            now, calls = now + 20_000, calls + 1  # refused at once
+            wait = pace.lost(now)
+            # whenever discovery is back, a call begins within half of what then counts as told
+            assert wait <= listing.TOLD_US // 2
+            now += wait
+        assert calls >= 3
 
 
 class Played:
@@ -86,7 +90,7 @@
         self.server = await asyncio.start_server(self, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
         self.supervisor = Supervisor()
-        pace = Pace(pushed, random.Random(1))
+        pace = Pace(pushed, random.Random(1), 1)
         actor = Destinations(
             Address("127.0.0.1", port), 41, pace, Clock(), self.supervisor, self.reports.append
         )
@@ -134,7 +138,7 @@
 def test_a_watch_without_whole_words_is_opened_anew_by_itself(quick: None, script: Handler) -> None:
     async def play() -> None:
         discovery = Played(script, _says_nothing)
-        (await discovery.start()).tell(Watch())
+        await discovery.start()
         assert "after=41" in await discovery.call()
         after = 41 if script is _says_nothing else 43
         assert f"after={after}" in await discovery.call()
@@ -144,16 +148,13 @@
     asyncio.run(play())
 
 
-def test_a_watch_that_ends_is_the_modules_matter(quick: None) -> None:
+def test_a_watch_that_ends_is_told_to_the_module_and_opened_anew_without_its_asking() -> None:
     async def play() -> None:
         discovery = Played(_ends, _says_nothing)
-        actor = await discovery.start()
-        actor.tell(Watch())
-        await discovery.call()
-        async with asyncio.timeout(10):
-            while not discovery.reports or discovery.reports[-1].list:
-                await asyncio.sleep(0)
-        assert discovery.calls.empty()
+        await discovery.start()
+        assert "after=41" in await discovery.call()
+        assert "after=43" in await discovery.call()
+        assert [r.list and r.list.generation for r in discovery.reports] == [43, None]
         await discovery.stop()
 
     asyncio.run(play())
