Refuse by its key what a setting can't mean, and take what it can

Lines at fault: config._check_numbers took a null of an optional key, a fraction or 1e300 for microseconds and never looked at flags, tenants or class-stretch; _known let an OverflowError through as a traceback (startedAtMs 1e306).

--- a/robinhill/config.py
+++ b/robinhill/config.py
@@ -23,7 +23,7 @@
 from robinhill.net import messages
 from robinhill.net.logs import LogOptions
 from robinhill.record.options import RecordOptions
-from robinhill.settings import read_settings
+from robinhill.settings import REPEATS, SCOPES, read_settings
 
 DEFAULT_SOCKETS = 1024
 OWN_SOCKETS = 16  # log, event loop, listener, two watches of discovery, the file on a reload; a few spare
@@ -35,13 +35,21 @@
     "guarantees.cold-us", "guarantees.fall-multiple", "guarantees.tip-after-us",
 )  # fmt: skip
 OPTIONAL = (
-    "zone", "over-share-worth", "guarantees.ask-every-us", "policy-limits.connect-timeout-us",
+    "zone", "over-share-worth", "guarantees.ask-every-us", "guarantees.let-go-in-us",
+    "policy-limits.connect-timeout-us",
     "policy-limits.keepalive-us", "policy-limits.max-retry-after-us", "prices.cross-zone", "prices.waste",
     "prices.handshake", "specifics.progress-us",
 )  # fmt: skip
-SECTIONS = ("policy-limits", "guarantees", "prices", "specifics")
 CLASS_NEEDED = ("aim-us", "hard-limit-us")
 CLASS_OPTIONAL = ("worth", "late-worth", "aim-stretch", "memory-span-us")
+TENANT_OPTIONAL = ("quota-per-s",)
+# Whole ones, beside all times (``-us``): what is written as a float becomes the nearest whole number.
+WHOLE = ("fleet-size", "zone", "most-tries")
+MOST = 2**53  # of them, as JSON holds no more exactly; 285 years as microseconds
+FLAGS = (
+    "policy-limits.parallel-tries", "policy-limits.cancelling", "policy-limits.probes",
+    "policy-limits.retry-after", "specifics.tells-start", "guarantees.late-shedding",
+)  # fmt: skip
 
 
 class ConfigError(Exception):
@@ -115,7 +123,7 @@
     if not (again and discovery is not None):
         discovery = env.get("GW_DISCOVERY") or discovery
     ops = env.get("GW_OPS") or document.get("ops")
-    options = document.get("settings")
+    options = _without_nulls(document.get("settings"))
     if not isinstance(options, dict):
         raise ConfigError("settings", "must be an object")
     settings = _settings(options)
@@ -241,7 +249,7 @@
         return messages.DestinationList(0, True, ())
     try:
         return messages.read_destinations(value)
-    except messages.MalformedError as e:
+    except (messages.MalformedError, OverflowError) as e:
         raise ConfigError("known", str(e)) from e
 
 
@@ -257,15 +265,53 @@
     return value
 
 
+def _find(options: object, start: str, path: str) -> tuple[dict[str, Any], str, str]:
+    """The object that holds what ``path`` names, its key there, and its name as the operator knows it."""
+    *sections, last = path.split(".")
+    value, key = options, start
+    for part in sections:
+        if not isinstance(value, dict):
+            raise ConfigError(key, "must be an object")
+        value, key = value.get(part, {}), f"{key}.{part}"
+    if not isinstance(value, dict):
+        raise ConfigError(key, "must be an object")
+    return value, last, f"{key}.{last}"
+
+
 def _check_numbers(options: object, start: str, needed: tuple[str, ...], optional: tuple[str, ...]) -> None:
     for path in (*needed, *optional):
-        value, key = options, start
-        for part in path.split("."):
-            if not isinstance(value, dict):
-                raise ConfigError(key, "must be an object")
-            value, key = value.get(part, {} if part in SECTIONS else None), f"{key}.{part}"
-        if value is not None or path in needed:
-            _number(value, key)
+        holder, last, key = _find(options, start, path)
+        if last not in holder and path in optional:
+            continue
+        number = _number(holder.get(last), key)
+        if last in WHOLE or last.endswith("-us"):
+            if abs(number) > MOST:
+                raise ConfigError(key, f"must be at most {MOST}, is {number!r}")
+            holder[last] = round(number)
+
+
+def _check_flags(options: object, start: str, flags: tuple[str, ...]) -> None:
+    for path in flags:
+        holder, last, key = _find(options, start, path)
+        if not isinstance(holder.get(last, False), bool):
+            raise ConfigError(key, f"must be true or false, is {holder[last]!r}")
+
+
+def _check_class(job_class: object, key: str) -> None:
+    _check_numbers(job_class, key, CLASS_NEEDED, CLASS_OPTIONAL)
+    _check_flags(job_class, key, ("stream",))
+    assert isinstance(job_class, dict)
+    _text(job_class.get("name"), f"{key}.name")
+    for name, words, default in (("repeat", REPEATS, None), ("dedup-scope", SCOPES, "cell")):
+        if (word := job_class.get(name, default)) not in list(words):
+            raise ConfigError(f"{key}.{name}", f"must be one of {', '.join(words)}, is {word!r}")
+
+
+def _without_nulls(value: object) -> object:
+    """A key whose value is null counts as missing: the module would take it for a value."""
+    if isinstance(value, dict):
+        return {k: _without_nulls(v) for k, v in value.items() if v is not None}
+    return [_without_nulls(v) for v in value] if isinstance(value, list) else value
 
 
 def _settings(options: dict[str, Any]) -> api.Settings:
@@ -274,13 +320,30 @@
     if not isinstance(classes, list) or not classes:
         raise ConfigError("settings.classes", "must be a list of at least one class")
     _check_numbers(options, "settings", NEEDED, OPTIONAL)
+    _check_flags(options, "settings", FLAGS)
+    names: set[str] = set()
     for number, job_class in enumerate(classes):
         key = f"settings.classes[{number}]"
-        _check_numbers(job_class, key, CLASS_NEEDED, CLASS_OPTIONAL)
-        _text(job_class.get("name"), f"{key}.name")
+        _check_class(job_class, key)
+        if job_class["name"] in names:
+            raise ConfigError(f"{key}.name", f"two classes are called {job_class['name']!r}")
+        names.add(job_class["name"])
+    if options.get("policy-limits", {}).get("connect-timeout-us", 1) <= 0:
+        # The client library takes 0 for no limit at all.
+        raise ConfigError("settings.policy-limits.connect-timeout-us", "must be above 0")
+    stretches, key = options.get("specifics", {}).get("class-stretch", []), "settings.specifics.class-stretch"
+    if not isinstance(stretches, list):
+        raise ConfigError(key, "must be a list")
+    for number, stretch in enumerate(stretches):
+        _number(stretch, f"{key}[{number}]")
+    tenants = options.get("tenants", [])
+    if not isinstance(tenants, list):
+        raise ConfigError("settings.tenants", "must be a list")
+    for number, tenant in enumerate(tenants):
+        _check_numbers(tenant, f"settings.tenants[{number}]", (), TENANT_OPTIONAL)
     try:
         return read_settings(options)
     except KeyError as e:
         raise ConfigError("settings", f"{e.args[0]} is missing or has no such value") from e
-    except (ValueError, TypeError, AttributeError, IndexError) as e:
+    except (ValueError, TypeError, AttributeError, IndexError, OverflowError) as e:
         raise ConfigError("settings", str(e)) from e
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,15 +1,25 @@
 """Bad configuration ends the program with one line that names the key."""
 
+import asyncio
 import copy
 import json
+import logging
+import math
 import socket
 import subprocess
 import sys
+import tomllib
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from robinhill import api
+from robinhill import config as configuration
+from robinhill.logic import Balancer
+from robinhill.net.scheduler import Scheduler
+
 from .test_exchanges import ROOT, SETTINGS, merge
 
 GIVEN: dict[str, Any] = {
@@ -72,3 +82,223 @@
     with socket.create_server(("127.0.0.1", 0)) as taken:
         line = start(tmp_path, GIVEN, {"GW_LISTEN": f"127.0.0.1:{taken.getsockname()[1]}"})
     assert line.startswith("robinhill: GW_LISTEN: can't listen on 127.0.0.1:")
+
+
+SITES = sorted((ROOT / "deploy" / "sites").glob("*/*.toml"))
+EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
+MISSING = object()
+FAULTS: tuple[Any, ...] = (
+    MISSING, None, True, "x", "", [], {}, [[]], [{}], ["x"], -1, 0, 0.5, 1e300, 10**18, 10**30, math.nan,
+)  # fmt: skip
+
+
+def settings_of(path: Path) -> dict[str, Any]:
+    """What an instance of a deployment would be told at its start, of each range the lowest."""
+
+    def first(value: Any) -> Any:
+        return value[0] if isinstance(value, list) else value
+
+    def us(value: Any, unit_us: int = 1000) -> int:
+        lowest: float = first(value)
+        return round(lowest * unit_us)
+
+    site = tomllib.loads(path.read_text())
+    tier, allow, rules, family = site["tier"][0], site["allow"], site["rules"], site["fam"]
+    classes = [
+        {
+            "name": c["name"], "aim-us": us(c["aim_ms"]), "hard-limit-us": us(c["deadline_ms"]),
+            "worth": c["worth"], "late-worth": c["late_worth"], "repeat": EFFECTS[c["effect"]],
+            "dedup-scope": c.get("group", "all"), "memory-span-us": us(c.get("window_ms", 5000)),
+            "stream": False,
+        }
+        for c in site["class"]
+    ]  # fmt: skip
+    return {
+        "areas": site["net"]["zones"], "shapes": [k["name"] for k in tier["kind"]], "classes": classes,
+        "zone": 0, "fleet-size": site["scale"]["balancers"][0], "discovery": "subscribe",
+        "guarantees": {
+            "ask-every-us": 10_000_000, "drain-grace-us": us(rules["drain_grace_ms"]),
+            "cold-from": first(tier["kind"][0]["cold_from"]), "cold-us": us(tier["kind"][0]["cold_s"], 10**6),
+            "fall-multiple": rules["fall_multiple"], "tip-after-us": us(rules["fall_ms"]),
+            "late-shedding": False,
+        },
+        "policy-limits": {
+            "most-tries": allow["max_attempts"], "cancelling": allow["cancel"], "probes": allow["probes"],
+            "parallel-tries": allow["second_copies"], "retry-after": allow["retry_after"],
+            "connect-timeout-us": us(tier["conn"]["connect_timeout_ms"]),
+            "keepalive-us": us(tier["conn"]["idle_s"], 10**6),
+            "max-retry-after-us": us(site["clients"]["max_retry_after_ms"]),
+        },
+        "prices": {key.replace("_", "-"): value for key, value in site["prices"].items()},
+        "specifics": {
+            "class-kind": [-1] * len(classes), "class-stretch": [c["stretch"] for c in family["class"]],
+            "progress-us": us(family["progress_s"], 10**6), "tells-start": family["tells_start"],
+        },
+        "tenants": [{"name": "a", "quota-per-s": 2.0, "share": 0.5}], "over-share-worth": 0.1,
+        "value-by": site["load"]["worth_by"],
+    }  # fmt: skip
+
+
+def read(settings: Any, tmp_path: Path) -> configuration.Config:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GIVEN | {"settings": settings}))
+    return configuration.load({"GW_CONFIG": str(path)})
+
+
+def drive(settings: api.Settings, turns: int) -> None:
+    """Ask the module for decisions of every kind; it must not fail."""
+    balancer, now = Balancer(settings, 7), 10**12
+    timers: list[str] = []
+
+    def tell(event: api.Event, after_us: int = 1000) -> list[api.Action]:
+        nonlocal now
+        now += after_us
+        actions = balancer.handle(now, event)
+        timers.extend(a.tag for a in actions if isinstance(a, api.SetTimer))
+        return actions
+
+    balancer.start(now)
+    listed = [api.Worker(f"w{i}", i % 2, kind=i % 2, started_us=(i == 0) * (now - 1000)) for i in range(3)]
+    tell(api.WorkersListed(api.ListKind.FULL, listed))
+    job, outcomes = 0, list(api.Outcome)
+    for turn in range(turns):
+        for number, klass in enumerate(settings.classes):
+            job += 1
+            request = api.Request(job, number, klass.deadline_us, work_hint_us=turn % 2 * 1000)
+            actions, attempt = tell(api.Arrived(request)), 0
+            while sends := [a for a in actions if isinstance(a, api.Send) and a.job == job]:
+                tell(api.JobStarted(job, attempt))
+                outcome = outcomes[(turn + attempt) % len(outcomes)]
+                over = outcome is api.Outcome.COMPLETED
+                actions = tell(api.AttemptEnded(job, attempt, outcome, 50_000, over), 50_000)
+                attempt += len(sends)
+        due, timers = timers, []
+        for tag in due[:4]:
+            tell(api.TimerFired(tag), 10_000)
+    tell(api.WorkersListed(api.ListKind.CHANGES, [api.Worker("w1", state=api.WorkerState.DRAINING)]))
+    tell(api.WorkersListed(api.ListKind.FAILED))
+    tell(api.ClientGone(job))
+
+
+def paths(value: Any, start: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
+    items: Any = ()
+    if isinstance(value, dict | list):
+        items = value.items() if isinstance(value, dict) else enumerate(value)
+    for key, inner in items:
+        yield (*start, key)
+        yield from paths(inner, (*start, key))
+
+
+@pytest.mark.parametrize("site", SITES, ids=lambda path: path.stem)
+def test_a_deployment_of_our_own_is_read_as_it_is_written(site: Path, tmp_path: Path) -> None:
+    settings = settings_of(site)
+    config = read(settings, tmp_path)
+    assert list(config.classes) == [c["name"] for c in tomllib.loads(site.read_text())["class"]]
+    assert config.zones == tuple(settings["areas"]) and config.settings.fleet_size == settings["fleet-size"]
+    drive(config.settings, len(api.Outcome))
+
+
+@pytest.mark.parametrize("site", SITES, ids=lambda path: path.stem)
+def test_whatever_a_setting_is_it_is_refused_in_a_line_or_the_module_can_go_by_it(
+    site: Path, tmp_path: Path
+) -> None:
+    given, driven = settings_of(site), set[api.Settings]()
+    for path in paths(given):
+        for fault in FAULTS:
+            settings = copy.deepcopy(given)
+            holder: Any = settings
+            for key in path[:-1]:
+                holder = holder[key]
+            if fault is MISSING:
+                del holder[path[-1]]
+            else:
+                holder[path[-1]] = fault
+            try:
+                config = read(settings, tmp_path)
+            except configuration.ConfigError as e:
+                assert "\n" not in str(e)
+                continue
+            if config.settings in driven:
+                continue
+            driven.add(config.settings)
+            try:
+                drive(config.settings, 2)
+            except Exception as e:
+                raise AssertionError(f"{path} = {fault!r} was read") from e
+
+
+@pytest.mark.parametrize(
+    "changes, taken",
+    [
+        ({"guarantees": {"ask-every-us": 2_000_000.4}}, ("ask_every_us", 2_000_000)),
+        ({"policy-limits": {"connect-timeout-us": 250_000.0}}, ("connect_timeout_us", 250_000)),
+        ({"policy-limits": {"retry-after": None}}, ("retry_after", False)),
+        ({"prices": {"waste": None}}, ("waste_price", 0.0)),
+        ({"prices": {"new": "x"}, "new": [None]}, ("waste_price", 0.02)),
+        ({"guarantees": {"let-go-in-us": 300_000.0}}, ("close_within_us", 300_000)),
+    ],
+)
+def test_what_can_be_meant_is_not_refused(
+    changes: dict[str, Any], taken: tuple[str, Any], tmp_path: Path
+) -> None:
+    settings = copy.deepcopy(SETTINGS)
+    merge(settings, changes)
+    value = getattr(read(settings, tmp_path).settings, taken[0])
+    assert value == taken[1] and type(value) is type(taken[1])
+
+
+def class_of(**changes: Any) -> dict[str, Any]:
+    return {"name": "x", "aim-us": 1, "hard-limit-us": 2, "repeat": "retryable"} | changes
+
+
+@pytest.mark.parametrize(
+    "changes, key",
+    [
+        ({"policy-limits": {"connect-timeout-us": 0}}, "settings.policy-limits.connect-timeout-us"),
+        ({"policy-limits": {"cancelling": "no"}}, "settings.policy-limits.cancelling"),
+        ({"guarantees": {"cold-us": 1e300}}, "settings.guarantees.cold-us"),
+        ({"classes": [class_of(), class_of()]}, "settings.classes[1].name"),
+        ({"classes": [class_of(repeat="often")]}, "settings.classes[0].repeat"),
+        ({"classes": [class_of(**{"dedup-scope": "rack"})]}, "settings.classes[0].dedup-scope"),
+        ({"classes": [class_of(stream=1)]}, "settings.classes[0].stream"),
+        ({"specifics": {"class-stretch": [1, "x"]}}, "settings.specifics.class-stretch[1]"),
+        ({"tenants": [{"name": "a", "quota-per-s": "x"}]}, "settings.tenants[0].quota-per-s"),
+    ],
+)
+def test_a_setting_that_means_nothing_is_refused_by_its_key(
+    changes: dict[str, Any], key: str, tmp_path: Path
+) -> None:
+    settings = copy.deepcopy(SETTINGS)
+    merge(settings, changes)
+    with pytest.raises(configuration.ConfigError) as refused:
+        read(settings, tmp_path)
+    assert refused.value.key == key
+
+
+def test_a_known_list_beyond_all_times_is_refused(tmp_path: Path) -> None:
+    entry = ENTRY | {"lifecycle": "active", "startedAtMs": 1e306}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(GIVEN | {"known": {"generation": 1, "reset": True, "instances": [entry]}}))
+    with pytest.raises(configuration.ConfigError) as refused:
+        configuration.load({"GW_CONFIG": str(path)})
+    assert refused.value.key == "known"
+
+
+@pytest.mark.parametrize("fault", [{"guarantees": {"cold-us": 0}}, {"classes": [class_of(), class_of()]}])
+def test_a_faulty_setting_on_a_reload_changes_nothing(
+    fault: dict[str, Any], tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    settings = copy.deepcopy(SETTINGS)
+    merge(settings, fault)
+
+    async def play() -> None:
+        before = read(SETTINGS, tmp_path)
+        scheduler = Scheduler(before, {"GW_CONFIG": str(tmp_path / "config.json")})
+        changed = GIVEN | {"settings": settings, "discovery": "127.0.0.1:3"}
+        (tmp_path / "config.json").write_text(json.dumps(changed))
+        with caplog.at_level(logging.INFO):
+            scheduler.reload()
+        assert scheduler.config is before and not scheduler.destinations._mailbox
+        assert [r.getMessage() for r in caplog.records] == ["reload_failed"]
+
+    asyncio.run(play())
