--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -23,7 +23,7 @@
 EJECT_US = 4_000_000  # the longest time out; or half the time in which workers warm up, if longer
 SILENT_FAULTS = 3  # a worker that answers no probe stays out as long as after so many failures
 IN_LINE = 3.0  # own jobs of all nodes at a worker where they wait; below one each, it rests between two
-MOVES, MOST_MOVES = 0.1, 10.0  # retry budget: jobs placed again for each completion; some run on, withdrawn
+MOVES, MOST_MOVES = 0.2, 10.0  # retry budget: jobs placed again for each completion; some run on, withdrawn
 CHEAP_WASTE = 0.1  # price of waste under which jobs past use are withdrawn: gains at 0.02, loses at 0.2
 
 
