--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -108,8 +108,7 @@
         self.mean_us, self.class_us = 0.0, [0.0] * len(settings.classes)  # smoothed job time, of each class
         self.usual_us = [0.0] * len(settings.classes)  # the lowest class_us seen, rising slowly
         self.kinds: dict[int, Mean] = {}  # job time by kind of machine
-        # Own completions; usable workers; jobs given up; jobs that may be withdrawn to be placed again.
-        self.served, self.ready, self.given_up, self.moves = Mean(), 1, 0, 1.0
+        self.served, self.ready, self.given_up = Mean(), 1, 0  # own completions; usable workers; given up
         self.least = min(1.0, max(0.2, IN_LINE / settings.fleet_size))  # the lowest limit of a worker
         self.thin = False  # fewer own jobs than workers in the window, as of the last pick
         self.quick: dict[int, float] = {}  # low quantile of time taken over work by kind of machine
@@ -120,7 +119,7 @@
         self.call_us = min(settings.ask_every_us // 2, CALL_US * settings.fleet_size)
         self.tick_us = min(c.aim_us for c in settings.classes) // 4 + 1000
         self.looks, self.silence_us = self.s.tells_start and self.s.cancelling, self.s.progress_us * 3 // 2
-        self.shed = self.worth = 0.0  # share of arrivals refused at once; their mean worth for the work
+        self.shed, self.worth, self.moves = 0.0, 0.0, 1.0  # share refused at once; worth for work; retry budget
         self.asked_us, self.free_us = 2 * UNKNOWN_JOB_US, UNKNOWN_JOB_US  # own work asked for; unbound work
         self.spare = 1.0  # how much ages of unbound work count at machines that bound classes want
         self.no_room: set[int] = set()  # classes for which picks found no worker with room
@@ -151,8 +150,7 @@
             # Asked again with back-off, well inside the time after which silence counts as being told.
             wait = min(self.s.ask_every_us // 2, self.call_us << min(self.list_tries, 6))
             self.subscribed, self.list_tries = False, self.list_tries + 1
-            self.out.append(api.SetTimer(int(wait * (0.5 + self.random.random() / 2)), "list"))
-            return
+            return self.out.append(api.SetTimer(int(wait * (0.5 + self.random.random() / 2)), "list"))
         self.subscribed, self.list_tries = self.subscribed or event.kind is not api.ListKind.CACHED, 0
         listed = {entry.address for entry in event.workers}
         for entry in event.workers:
@@ -313,9 +311,8 @@
             if full_here or now < seat.doubt_us or (seat.faults and risky):
                 cost /= BACK_OFF
             # With a hint, those that make the aim with half as much again go before tight fits.
-            rank = 2 if hint and now + seat.unit * hint > aim else 0
             # Where starts are not told, one with an own job out is less surely ready than one without.
-            rank += 1 if seat.out and not told else 0
+            rank = 2 * (hint > 0 and now + seat.unit * hint > aim) + (not told and len(seat.out) > 0)
             rank += thin and risky and (seat.failed > 0.1 or not (seat.done_us or now < seat.cold_us))
             if rank < best_rank or (rank == best_rank and cost <= best_cost):
                 key = (rank, cost, seat.last, seat.rank)
@@ -380,9 +377,11 @@
         self.out.append(api.Refuse(job.request.job, wait * self.s.retry_after * (not soon)))
 
     def _started(self, now: int, event: api.JobStarted | api.JobProgress | api.StreamStarted) -> None:
-        if flight := self.flights.get((event.job, event.attempt)):
-            flight.heard_us = flight.seat.heard_us = now
-        if flight and flight.seat.waiting is flight:
+        if not (flight := self.flights.get((event.job, event.attempt))):
+            self.moves = max(-MOST_MOVES, self.moves - 2)  # withdrawn, it runs all the same
+            return
+        flight.heard_us = flight.seat.heard_us = now
+        if flight.seat.waiting is flight:
             seat, delay = flight.seat, now - flight.sent_us
             if usual := self.usual_us[flight.job.request.job_class]:
                 self.out.append(api.SetTimer(int(OVERDUE * usual), f"overdue {event.job} {event.attempt}"))
@@ -596,7 +595,7 @@
                                       flight.group for x in self.seats.values()))
         if waiting and room and key[1] == 0 and now < job.until_us and self.moves >= 1:
             due = now  # own jobs can't tell where those of others are; a start that does not come does
-        elif waiting and not klass.late_worth:  # a jam must not be spent on late answers
+        elif waiting and not klass.late_worth and self.moves >= 0:  # a jam must not be spent on late answers
             due = job.aim_us + (klass.stretch - 1) * self.class_us[number] / 4
             due = due if self.moves >= 1 or klass.repeat is api.Repeat.UNSAFE else max(due, job.until_us)
         elif klass.late_worth and safe and flight.heard_us and self.silence_us:
--- a/robinhill/memory.py
+++ b/robinhill/memory.py
@@ -92,8 +92,8 @@
     return {"request": request, "values": _scalars(job), "flights": flights}
 
 
-def resume(balancer: Balancer, now: int, told: Json) -> list[api.Action]:
-    """Take a job that another process has let go; what is to be done for it."""
+def resume(balancer: Balancer, now: int, told: Json, own: bool = False) -> list[api.Action]:
+    """Take a job that another process has let go, or an ``own`` one back; what is to be done for it."""
     job = _Job(api.Request(**told["request"]))
     _set(job, told["values"])
     number = job.request.job
@@ -107,7 +107,7 @@
         flight = balancer.flights[key] = _Flight(seat, now, job, 0, -1)
         _set(flight, there["values"])
         seat.out.add(key)
-        seat.limit += 1.0
+        seat.limit += 0.0 if own else 1.0  # `recall` took that room away; `release` did not
         if there["waiting"]:
             seat.waiting = flight
     balancer.out = []
--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -239,10 +239,14 @@
             self._wire.resume_reading()
 
     def hand_over(self) -> int | None:
-        """A descriptor of it for another process; None if it has closed. Ours is to be dropped then."""
+        """A descriptor of it for another process; None if it has closed, or there is none to be had now."""
         if self._wire is None:
             return None
-        return os.dup(self._wire.get_extra_info("socket").fileno())
+        try:
+            return os.dup(self._wire.get_extra_info("socket").fileno())
+        except OSError as e:
+            log.warning("not_handed_over", extra={"why": str(e)})
+            return None
 
     async def adopt(self, carried: object) -> bool:
         """Answer what it carries from another process; False if its peer ends it before that begins."""
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -1,6 +1,7 @@
 """The inbound side: the listener for clients, for the front's /ready and for the endpoints' calls."""
 
 import asyncio
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -178,22 +179,26 @@
     async def hand_over(
         self,
         release: Callable[[JobRequest], Awaitable[Json | None]],
-        send: Callable[[Json, int | None], Awaitable[bool]],
+        send: Callable[[Json, int, JobRequest, asyncio.Future[Answer]], Awaitable[bool]],
     ) -> None:
         """Let another process answer what is owed, as far as it can go now; idle connections end."""
         self._listener.retire_idle()
         for connection, owed in list(self.answering.items()):
+            if not self.succeeded:
+                return  # it has gone
             if not connection.hold():
                 continue
+            if (fd := connection.hand_over()) is None:  # before anything is let go
+                connection.stay()
+                continue
             told = await release(owed.request)
             if told is None:
+                os.close(fd)
                 connection.stay()
-            elif await send(told | {"request": messages.write_handed(owed.request)}, connection.hand_over()):
+            elif await send(told, fd, owed.request, owed.reply):
                 connection.forget()
             else:
                 connection.stay()
-                if not owed.reply.done():
-                    owed.reply.set_result(messages.FAILED)
 
     async def adopt(self, request: JobRequest, reply: asyncio.Future[Answer], fd: int) -> None:
         """Answer what another process was owing."""
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -1,6 +1,7 @@
 """The embeddable scheduler: ``start`` it, ``drain`` it, ``close`` it; or ``run`` does all three."""
 
 import asyncio
+import contextlib
 import logging
 import os
 import random
@@ -202,7 +203,12 @@
         await asyncio.sleep(TAKE_ON_S)
         self.inbound.closed_to_new = True
         log.info("refusing", extra={"owed": self.inbound.owed})
-        await self.inbound.none_owed.wait()
+        while self.inbound.owed:
+            if await self._leave_to_successor():  # it has come only now
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HAND_OVER_S):
+                    await self.inbound.none_owed.wait()
 
     async def _leave_to_successor(self) -> bool:
         """Whether there was one until all was settled."""
@@ -289,20 +295,38 @@
         told = await reply
         return told and told | {"door": at_door}
 
-    async def _send_over(self, told: Json, fd: int | None) -> bool:
-        """Whether the successor has a request now; without a descriptor its client has gone."""
-        request_id = told["request"]["id"]
+    async def _send_over(
+        self, told: Json, fd: int, request: JobRequest, reply: asyncio.Future[Answer]
+    ) -> bool:
+        """Whether the successor has a request now; else it is ours again, or answered."""
+        taken, sent = False, False
+        body = told | {"request": messages.write_handed(request)}
         try:
-            if fd is None:
-                return False
-            assert self.succession and self.succession.successor
-            await self.succession.successor.ask("adopt", told, fd)
-        except LinkLostError:
-            return False
-        finally:
-            self.decider.moved(request_id)
-        log.info("handed_over", extra={"id": request_id})
-        return True
+            if self.succession and (successor := self.succession.successor):
+                taken = (await successor.ask("adopt", body, fd)).get("taken", True)
+            else:
+                os.close(fd)  # it has gone since the request was let go
+        except LinkLostError as e:
+            sent = e.sent
+        if sent:
+            # It had the request and may have sent it on, so no other attempt may follow.
+            if not reply.done():
+                reply.set_result(messages.FAILED)
+        elif not taken:
+            await self._take_back(told, request, reply)
+        self.decider.moved(request.id)
+        if taken:
+            log.info("handed_over", extra={"id": request.id})
+        return taken
+
+    async def _take_back(self, told: Json, request: JobRequest, reply: asyncio.Future[Answer]) -> None:
+        """Go on ourselves with a request that no successor has had."""
+        if self.door and "waiting" in told["door"]:
+            self.door.put_in(request, told["door"], reply, False)
+            return
+        done = asyncio.Event()
+        self.decider.tell(Adopt(request, told | {"timers": []}, reply, done, own=True))  # ours are set
+        await done.wait()
 
     def hello(self) -> Json:
         """What a successor needs to watch discovery by itself; it takes a part of what we may use."""
@@ -336,7 +360,10 @@
         self.decider.tell(event)
         return True
 
-    async def adopt(self, body: Json, fd: int) -> None:
+    async def adopt(self, body: Json, fd: int) -> bool:
+        if self.inbound.leaving:
+            os.close(fd)
+            return False
         request = messages.read_handed(body["request"])
         reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         at_door = body.get("door") or {}
@@ -346,11 +373,12 @@
             if not self.door:  # it has waited long enough
                 self.decider.tell(Taken(request, waiting["arrived_us"], reply))
             await self.inbound.adopt(request, reply, fd)
-            return
+            return True
         done = asyncio.Event()
         self.decider.tell(Adopt(request, body, reply, done))
         await done.wait()
         await self.inbound.adopt(request, reply, fd)
+        return True
 
     async def close(self) -> None:
         if self.operators:
--- a/robinhill/net/succession.py
+++ b/robinhill/net/succession.py
@@ -29,7 +29,7 @@
     def succeeded(self, yes: bool) -> None: ...
     async def obey(self, what: str, body: Json) -> bool: ...
     async def take_event(self, body: Json) -> bool: ...
-    async def adopt(self, body: Json, fd: int) -> None: ...
+    async def adopt(self, body: Json, fd: int) -> bool: ...
 
 
 class Succession:
@@ -165,7 +165,7 @@
             case "event":
                 return {"taken": await self._take_event(body, link)}
             case "adopt" if fd is not None:
-                await self.estate.adopt(body, fd)
+                return {"taken": await self.estate.adopt(body, fd)}
             case _:
                 return {"yes": await self.estate.obey(what, body)}
         return {}
