--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -119,7 +119,7 @@
         self.call_us = min(settings.ask_every_us // 2, CALL_US * settings.fleet_size)
         self.tick_us = min(c.aim_us for c in settings.classes) // 4 + 1000
         self.looks, self.silence_us = self.s.tells_start and self.s.cancelling, self.s.progress_us * 3 // 2
-        self.shed, self.worth, self.moves = 0.0, 0.0, 1.0  # share refused at once; worth for work; retry budget
+        self.shed, self.worth, self.moves = 0.0, 0.0, 1.0  # refused share; worth for work; retry budget
         self.asked_us, self.free_us = 2 * UNKNOWN_JOB_US, UNKNOWN_JOB_US  # own work asked for; unbound work
         self.spare = 1.0  # how much ages of unbound work count at machines that bound classes want
         self.no_room: set[int] = set()  # classes for which picks found no worker with room
@@ -377,11 +377,9 @@
         self.out.append(api.Refuse(job.request.job, wait * self.s.retry_after * (not soon)))
 
     def _started(self, now: int, event: api.JobStarted | api.JobProgress | api.StreamStarted) -> None:
-        if not (flight := self.flights.get((event.job, event.attempt))):
-            self.moves = max(-MOST_MOVES, self.moves - 2)  # withdrawn, it runs all the same
-            return
-        flight.heard_us = flight.seat.heard_us = now
-        if flight.seat.waiting is flight:
+        if flight := self.flights.get((event.job, event.attempt)):
+            flight.heard_us = flight.seat.heard_us = now
+        if flight and flight.seat.waiting is flight:
             seat, delay = flight.seat, now - flight.sent_us
             if usual := self.usual_us[flight.job.request.job_class]:
                 self.out.append(api.SetTimer(int(OVERDUE * usual), f"overdue {event.job} {event.attempt}"))
@@ -595,7 +593,7 @@
                                       flight.group for x in self.seats.values()))
         if waiting and room and key[1] == 0 and now < job.until_us and self.moves >= 1:
             due = now  # own jobs can't tell where those of others are; a start that does not come does
-        elif waiting and not klass.late_worth and self.moves >= 0:  # a jam must not be spent on late answers
+        elif waiting and not klass.late_worth:  # a jam must not be spent on late answers
             due = job.aim_us + (klass.stretch - 1) * self.class_us[number] / 4
             due = due if self.moves >= 1 or klass.repeat is api.Repeat.UNSAFE else max(due, job.until_us)
         elif klass.late_worth and safe and flight.heard_us and self.silence_us:
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -15,7 +15,13 @@
 from robinhill.net.clock import Clock
 from robinhill.net.figures import Figures
 from robinhill.net.messages import (
-    DONE, Answer, Destination, DestinationList, JobEvent, JobRequest, JobState, Lifecycle,
+    DONE,
+    Answer,
+    Destination,
+    DestinationList,
+    JobEvent,
+    JobRequest,
+    Lifecycle,
 )  # fmt: skip
 from robinhill.net.state import State
 from robinhill.net.tape import Tape
@@ -27,7 +33,6 @@
 
 Json = dict[str, Any]
 NUMBERS_APART = 1_000_000  # jobs of a predecessor keep their numbers: those of our own start so far behind
-SEEN_WITHDRAWN = 1_024  # some seconds of withdrawals
 SEEN_IDS = 16_384  # some 2 MB; ten minutes of a busy day
 
 _STATES = {
@@ -175,8 +180,6 @@
         # Ids of late. An endpoint knows a request in the form it got first, and turns away any other.
         self.seen: dict[str, None] = {}
         self.keys = keys.Keys()
-        # By id: endpoint, job and number of an attempt that was given up, to hear if it runs all the same.
-        self.withdrawn: dict[str, tuple[str, int, int]] = {}
         self.next_number = 1
         self._timers: dict[Due, int] = {}  # that are set, and when they are due
         # Requests on their way to another process: what is said of one waits until it is there, or stays.
@@ -314,8 +317,6 @@
             until_us = min(until_us, self.clock.now_us() + action.timeout_us)
         number = len(held.endpoints)
         held.endpoints.append(action.address)
-        if self.withdrawn.get(held.request.id, ("",))[0] == action.address:
-            del self.withdrawn[held.request.id]  # from now on a start there is the new attempt's
         held.began_us = 0
         held.out.add(number)
         self._remember(held.request, (action.job, number), action.address)
@@ -369,10 +370,6 @@
         self.keys.ended((ended.job, ended.attempt), never_ran)
         if ended.outcome is api.Outcome.FULL:
             held.returned.append(endpoint)
-        elif ended.outcome is api.Outcome.CANCELLED:
-            self.withdrawn[held.request.id] = (endpoint, ended.job, ended.attempt)
-            if len(self.withdrawn) > SEEN_WITHDRAWN:
-                del self.withdrawn[next(iter(self.withdrawn))]
         if ended.result is not None:
             self._answer(ended.job, messages.served(ended.result))
         over = not held.owed
@@ -415,11 +412,7 @@
             del self.jobs[held.request.id]
 
     def _job_event(self, event: JobEvent) -> None:
-        given_up, job, attempt = self.withdrawn.get(event.id, ("", 0, 0))
-        if given_up == event.source and event.state is JobState.STARTED:
-            del self.withdrawn[event.id]
-            self._decide(api.JobStarted(job, attempt))
-        elif event.id in self.moving or not self.holds(event.id):
+        if event.id in self.moving or not self.holds(event.id):
             self.elsewhere(event)
         elif endpoint := self.endpoints.get(event.source):
             endpoint.tell(event)
@@ -433,7 +426,7 @@
 
     def holds(self, request_id: str) -> bool:
         """Whether an endpoint's call about this request is for this process."""
-        return request_id in self.jobs or request_id in self.withdrawn
+        return request_id in self.jobs
 
     def memory(self) -> Json:
         """What a successor must know to decide as one with this process."""
