Keep a connection whose request has been read in the turn in which room is made

Seen, forced on a real socket: a connection that was silent for 0.25 s sends its request; the bytes are read, and in the same turn of the loop, before the handler begins, Listener._accept makes room. Connection.spare knew only unread bytes and the phase, so it was dropped with a whole request on it. The test fails on the tree before.

A client that closes, half-closes or resets as its request arrives has gone: shown by a test.

--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -128,7 +128,7 @@
         self.useful |= useful
         self._more = False
         self._enter(_Phase.BUSY)
-        if self._wire and not self._wire.is_reading():
+        if self._wire and not self._wire.is_reading() and not self._wire.is_closing():
             self._exceed()
 
     def pause(self) -> None:
@@ -197,6 +197,8 @@
         """
         if self._wire is None or self.dropped or self._phase is _Phase.BUSY:
             return None
+        if self._phase is not _Phase.ENDING and self._whole():
+            return None  # it was silent for long enough to go, but is silent no more
         unsent = self._wire.get_write_buffer_size() and now - self._since < LINGER_S
         if unsent or self._unread():
             return (YOUNG_RANK, self._since)  # a close would cut its answer off, or reset it
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -148,6 +148,32 @@
     run(play)
 
 
+@pytest.mark.parametrize("way", ["close", "half-close", "reset"])
+def test_a_client_that_goes_as_its_request_arrives_has_gone(
+    way: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Request and end are in the kernel together; it has done nothing wrong."""
+
+    async def play() -> None:
+        async with door() as here:
+            sock = here.client()
+            connection = await only(here.listener)
+            arrive(connection, sock, JOB)
+            if way == "reset":
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            if way == "half-close":
+                sock.shutdown(socket.SHUT_WR)
+            else:
+                sock.close()
+            await here.until(lambda: not here.listener.open)
+            await asyncio.sleep(0)
+            assert here.gone == here.claimed <= 1
+            sock.close()
+
+    run(play)
+    assert not caplog.records
+
+
 def inbound(report: Callable[[Taken | ClientLeft], None], sockets: int = 64) -> Inbound:
     """The client side by itself; who reads what it reports answers for the decider."""
     nowhere = Address("127.0.0.1", 1)
@@ -445,3 +471,39 @@
             await closing
 
     run(play)
+
+
+def test_a_request_read_in_the_turn_in_which_room_is_made_is_answered() -> None:
+    """Its connection was silent long enough to go; the handler has yet to begin."""
+
+    async def play() -> None:
+        async with door(budget=1) as here:
+            here.let.set()
+            sock = here.client()
+            connection = await only(here.listener)
+            await here.until(lambda: connection._waiter is not None)
+            connection._since -= 2 * connections.NEW_S
+            arrive(connection, sock, JOB)
+            connection._wire._read_ready()  # type: ignore[union-attr]
+            assert not here.listener._make_room()
+            await here.until(lambda: here.claimed == 1)
+            sock.shutdown(socket.SHUT_WR)
+            assert await answer(sock) == (200, b"done")
+
+    run(play)
+
+
+def test_a_process_with_a_successor_stays_while_a_request_may_be_on_its_way() -> None:
+    """A connection that is too young to be retired is open still: what came there then was lost."""
+
+    async def play() -> None:
+        async with program() as (here, listen):
+            sock = socket.create_connection((listen.host, listen.port))
+            connection = await only(here.inbound._listener)
+            assert not here.inbound.settled
+            connection._since -= 2 * connections.NEW_S
+            here.inbound._listener.retire_idle()
+            assert here.inbound.settled
+            sock.close()
+
+    run(play)
