End a smaller budget's search for room where all the rest carry requests

The new test passes with this; it was not run without, as it would never end.

Also a test with a process of 64 descriptors: 100 silent clients, discovery down and back. The program calls it, serves a further client and answers the request it had. It passes; no fault was found there. It takes 2.4 s, most of it the start of the process and the wait before the next call to discovery.

--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -381,7 +381,7 @@
     def share(self, budget: int) -> None:
         """Keep to another budget from now on: the idlest connections go until it is kept."""
         self.budget = budget
-        while sum(not c.dropped for c in self.open) > budget and self._make_room():
+        while sum(not c.dropped for c in self.open) > budget and self._drop_spare():
             pass
 
     async def adopt(self, fd: int, carried: object) -> bool:
@@ -469,6 +469,10 @@
             self._coming -= 1
 
     def _make_room(self) -> bool:
+        """Whether there will be room in the loop's next turn."""
+        return self._drop_spare() or any(c.dropped for c in self.open)
+
+    def _drop_spare(self) -> bool:
         now = self._loop.time()
         spare = [(rank, c) for c in self.open if (rank := c.spare(now)) is not None]
         spare.sort(key=lambda x: x[0])
@@ -477,7 +481,7 @@
             going = [c for _, c in spare[:1]]  # what is coming may be silent, and goes first then
         for connection in going:
             connection.drop()
-        return any(c.dropped for c in self.open)
+        return bool(going)
 
 
 def inherit(fd: int) -> socket.socket:
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from pathlib import Path
 
 import pytest
 from aiohttp import web
@@ -22,6 +23,8 @@
 from robinhill.net.scheduler import Scheduler
 
 from .conftest import settings
+from .test_exchanges import Connection as Peer
+from .test_exchanges import Player
 
 PATIENCE_S = 5.0
 JOB = b"POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: 4\r\n\r\nwork"
@@ -401,6 +404,30 @@
     run(play)
 
 
+def test_a_smaller_budget_takes_the_idle_connections_and_leaves_those_that_carry_requests() -> None:
+    """Where more carry requests than the new budget holds, it comes to be kept as they end."""
+
+    async def play() -> None:
+        async with door() as here:
+            busy = [here.client() for _ in range(3)]
+            for sock in busy:
+                sock.sendall(JOB)
+            await here.until(lambda: here.claimed == 3)
+            idle = here.client()
+            await here.until(lambda: len(here.listener.open) == 4)
+            for connection in here.listener.open:
+                connection._since -= 2 * connections.NEW_S
+            here.listener.share(1)
+            assert (await answer(idle))[0] == 0
+            assert len(here.listener.open) == 3
+            here.let.set()
+            for sock in busy:
+                sock.shutdown(socket.SHUT_WR)
+                assert await answer(sock) == (200, b"done")
+
+    run(play)
+
+
 @asynccontextmanager
 async def program() -> AsyncIterator[tuple[Scheduler, Address]]:
     """The whole program in this process, with neither workers nor discovery."""
@@ -507,3 +534,36 @@
             sock.close()
 
     run(play)
+
+
+def test_idle_clients_that_fill_the_descriptors_do_not_keep_the_program_from_discovery(
+    tmp_path: Path,
+) -> None:
+    """Discovery is down and comes back; the idle clients stay all the while."""
+    player = Player(tmp_path)
+    try:
+        player.workers("w2 w1", "")
+        player.limits('{"sockets": 64}', "")
+        player.at = player.ports["s"].getsockname()
+        player.run()
+        at = player.ports["d"].getsockname()
+        player.ports["d"].close()
+        player.log("watch_lost", "")
+        player.crowd("100", "")
+        player.job("c1 renewal-charge j1 25000m", "")
+        player.take("w1.1 j1 202", "")
+        player.event("w1 j1 started", "")
+        with socket.create_server(at) as back:
+            back.settimeout(10)
+            discovery = Peer(back.accept()[0])
+            assert discovery.message().startswith("GET /v1/endpoints?watch=1")
+            player.job("c2 renewal-charge j2 25000m", "")
+            player.take("w2.1 j2 202", "")
+            player.event("w2 j2 done second", "")
+            player.answer("c2 200 second", "")
+            player.event("w1 j1 done first", "")
+            player.answer("c1 200 first", "")
+            discovery.file.close()
+            discovery.sock.close()
+    finally:
+        player.stop()
