Give withdrawals of waiting jobs a retry budget, a tenth of what is served

No ejection in any log, no connection failed.

At fault: logic.py, _look. Jobs that do not start are withdrawn to be moved, or as too late, and then placed again until their time is over. Where a cancel stops nothing the withdrawn job runs on, its place goes to another, and the queues grow by what is withdrawn from them. Nothing in the settings tells whether a cancel stops a waiting job.

Now each withdrawal of a waiting job takes from a budget that grows by a tenth with each completion, ten at most.

--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -23,7 +23,7 @@
 EJECT_US = 4_000_000  # the longest time out; or half the time in which workers warm up, if longer
 SILENT_FAULTS = 3  # a worker that answers no probe stays out as long as after so many failures
 IN_LINE = 3.0  # own jobs of all nodes at a worker where they wait; below one each, it rests between two
-MOVES, MOST_MOVES = 0.2, 10.0  # retry budget: jobs placed again for each completion; some run on, withdrawn
+RETRY_SHARE, MOST_RETRIES = 0.1, 10.0  # retry budget: withdrawals for each completion; withdrawn, some run on
 CHEAP_WASTE = 0.1  # price of waste under which jobs past use are withdrawn: gains at 0.02, loses at 0.2
 
 
@@ -119,7 +119,7 @@
         self.call_us = min(settings.ask_every_us // 2, CALL_US * settings.fleet_size)
         self.tick_us = min(c.aim_us for c in settings.classes) // 4 + 1000
         self.looks, self.silence_us = self.s.tells_start and self.s.cancelling, self.s.progress_us * 3 // 2
-        self.shed, self.worth, self.moves = 0.0, 0.0, 1.0  # refused share; worth for work; retry budget
+        self.shed, self.worth, self.budget = 0.0, 0.0, 1.0  # refused share; worth for work; retry budget
         self.asked_us, self.free_us = 2 * UNKNOWN_JOB_US, UNKNOWN_JOB_US  # own work asked for; unbound work
         self.spare = 1.0  # how much ages of unbound work count at machines that bound classes want
         self.no_room: set[int] = set()  # classes for which picks found no worker with room
@@ -447,7 +447,7 @@
         if outcome is api.Outcome.COMPLETED:
             seat.errors, seat.failed = 0.75 * seat.errors, 0.75 * seat.failed
             seat.faults = seat.faults if seat.errors >= 0.25 else 0
-            seat.done_us, seat.doubt_us, self.moves = now, 0, min(MOST_MOVES, self.moves + MOVES)
+            seat.done_us, seat.doubt_us, self.budget = now, 0, min(MOST_RETRIES, self.budget + RETRY_SHARE)
             if seat.shut_us < inf:
                 self.served.add(now, took_us, self.s.cold_us)
             return self._learn(now, flight, took_us)
@@ -591,15 +591,15 @@
         safe, keyed = klass.repeat is api.Repeat.SAFE, klass.repeat is api.Repeat.KEYED
         room = safe or (keyed and any(now >= x.shut_us and not x.out and klass.group_of(x.entry) ==
                                       flight.group for x in self.seats.values()))
-        if waiting and room and key[1] == 0 and now < job.until_us and self.moves >= 1:
+        if waiting and room and key[1] == 0 and now < job.until_us and self.budget >= 1:
             due = now  # own jobs can't tell where those of others are; a start that does not come does
         elif waiting and not klass.late_worth:  # a jam must not be spent on late answers
             due = job.aim_us + (klass.stretch - 1) * self.class_us[number] / 4
-            due = due if self.moves >= 1 or klass.repeat is api.Repeat.UNSAFE else max(due, job.until_us)
+            due = due if self.budget >= 1 else max(due, now + self.tick_us)
         elif klass.late_worth and safe and flight.heard_us and self.silence_us:
             due = flight.heard_us + self.silence_us
         if now >= due:
-            flight.dropped, self.moves = True, self.moves - (now < job.until_us)
+            flight.dropped, self.budget = True, self.budget - 1
             self.out.append(api.Cancel(*key))
         elif due < inf:
             self.out.append(api.SetTimer(int(due - now) + 1, f"look {key[0]} {key[1]}"))
--- a/robinhill/memory.py
+++ b/robinhill/memory.py
@@ -16,7 +16,7 @@
 # Of the module as a whole; means by number (of kind or zone) apart.
 LEARNED = (
     "sends", "rate_us", "began_us", "rate", "priced_rate", "mean_us", "class_us", "usual_us", "hint_us",
-    "full_us", "given_up", "moves", "shed", "worth", "asked_us", "free_us", "spare",
+    "full_us", "given_up", "budget", "shed", "worth", "asked_us", "free_us", "spare",
 )  # fmt: skip
 
 
