--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -114,9 +114,13 @@
     description = replace(SMALL, troubles=(trouble,))
     result = World(description, draw(description, 6), Side(), 6).play()
     assert not result.broken and result.served < result.wanted * 1.0001
-    calm = World(SMALL, draw(SMALL, 6), Side(), 6).play()
-    if kind in ("crash", "errors", "partition"):
-        assert result.share < calm.share or result.tries > calm.tries
+    if kind not in ("crash", "errors", "partition"):
+        return
+    # On one small day the draw of who sends where weighs as much as the trouble: all twelve together.
+    rough = [World(description, draw(description, seed), Side(), seed).play() for seed in range(1, 13)]
+    calm = [World(SMALL, draw(SMALL, seed), Side(), seed).play() for seed in range(1, 13)]
+    share, tries = sum(r.share for r in rough), sum(r.tries for r in rough)
+    assert share < sum(r.share for r in calm) or tries > sum(r.tries for r in calm)
 
 
 def test_the_same_seed_gives_the_same_result_whatever_the_processes() -> None:
