--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -23,7 +23,7 @@
 EJECT_US = 4_000_000  # the longest time out; or half the time in which workers warm up, if longer
 SILENT_FAULTS = 3  # a worker that answers no probe stays out as long as after so many failures
 IN_LINE = 3.0  # own jobs of all nodes at a worker where they wait; below one each, it rests between two
-BACK_US = 500_000  # between the first jobs of all nodes to a worker taken back, though it is cold
+RETRY_SHARE, MOST_RETRIES = 0.1, 10.0  # retry budget: withdrawals for each completion; withdrawn, some run on
 CHEAP_WASTE = 0.1  # price of waste under which jobs past use are withdrawn: gains at 0.02, loses at 0.2
 
 
@@ -119,7 +119,7 @@
         self.call_us = min(settings.ask_every_us // 2, CALL_US * settings.fleet_size)
         self.tick_us = min(c.aim_us for c in settings.classes) // 4 + 1000
         self.looks, self.silence_us = self.s.tells_start and self.s.cancelling, self.s.progress_us * 3 // 2
-        self.shed = self.worth = 0.0  # share of arrivals refused at once; their mean worth for the work
+        self.shed, self.worth, self.budget = 0.0, 0.0, 1.0  # refused share; worth for work; retry budget
         self.asked_us, self.free_us = 2 * UNKNOWN_JOB_US, UNKNOWN_JOB_US  # own work asked for; unbound work
         self.spare = 1.0  # how much ages of unbound work count at machines that bound classes want
         self.no_room: set[int] = set()  # classes for which picks found no worker with room
@@ -150,8 +150,7 @@
             # Asked again with back-off, well inside the time after which silence counts as being told.
             wait = min(self.s.ask_every_us // 2, self.call_us << min(self.list_tries, 6))
             self.subscribed, self.list_tries = False, self.list_tries + 1
-            self.out.append(api.SetTimer(int(wait * (0.5 + self.random.random() / 2)), "list"))
-            return
+            return self.out.append(api.SetTimer(int(wait * (0.5 + self.random.random() / 2)), "list"))
         self.subscribed, self.list_tries = self.subscribed or event.kind is not api.ListKind.CACHED, 0
         listed = {entry.address for entry in event.workers}
         for entry in event.workers:
@@ -179,8 +178,6 @@
                     # Back after it was left out: what befell it or own jobs there before tells nothing now.
                     seat.faults, seat.errors, seat.doubt_us, seat.waiting, seat.back_us = 0, 0.0, 0, None, now
                     seat.out, seat.full, seat.last = set(), {}, self.sends - 1 - int(seat.rank * turn)
-                    if (first := now + self.random.random() * BACK_US * self.s.fleet_size) < seat.cold_us:
-                        seat.shut_us, seat.credit, seat.last = first, 1.0, self.sends - 1000 * (turn + 1)
             seat.wanted = any(c.bound and c.open_to(entry) for c in self.s.classes)
             self._price(seat)
         self._weigh()
@@ -188,7 +185,9 @@
             unlisted = event.kind is not api.ListKind.CHANGES and address not in listed
             if unlisted or seat.entry.state is api.WorkerState.GONE:
                 self._leave(self.seats.pop(address))
-        self.ready = max(1, sum(x.shut_us < inf for x in self.seats.values()))
+        ready = max(1, sum(x.shut_us < inf for x in self.seats.values()))
+        # A job done counts by the workers of its time: what many bore is not what each of few can bear.
+        self.served.count, self.ready = self.served.count * ready / self.ready, ready
         self._release(now)
 
     def _leave(self, seat: _Seat) -> None:
@@ -201,13 +200,16 @@
 
     def _pace(self, now: int, seen: float) -> float:
         """Own jobs a microsecond to a cold worker, were it warm: a share of what all bear, or of one job."""
-        served, window, job_us = self.served, self.s.cold_us, self.mean_us or UNKNOWN_JOB_US
+        served, window, tip = self.served, self.s.cold_us, self.s.tip_after_us
         share = served.count * exp((served.at_us - now) / window) / (seen * window * self.ready)
-        return self.s.fall_multiple / 2 * max(share, 1 / (self.s.fleet_size * job_us))
+        # One short job must not stand for all; and `_earned` leaves out a part of the gaps between own jobs.
+        share = max(share, 1 / (self.s.fleet_size * served.lean(UNKNOWN_JOB_US)))
+        return self.s.fall_multiple / 2 * share / max(0.5, -expm1(-self.rate * tip / (1e6 * seen)))
 
     def _earned(self, now: int, seat: _Seat, pace: float) -> bool:
         """Whether it is time for a job to a cold worker: all nodes' shares add up to half its budget."""
-        credit = seat.credit + (now - seat.credit_us) * pace * self._warm(now, seat)
+        # In a lull all nodes would come to their turn, and the first burst send all of these at once.
+        credit = seat.credit + min(now - seat.credit_us, self.s.tip_after_us) * pace * self._warm(now, seat)
         if seat.credit < 1.0 <= credit:  # its turn, though cold
             seat.last = min(seat.last, self.sends - int(len(self.seats) / self.s.cold_from))
         seat.credit, seat.credit_us = min(1.0, credit), now
@@ -309,9 +311,8 @@
             if full_here or now < seat.doubt_us or (seat.faults and risky):
                 cost /= BACK_OFF
             # With a hint, those that make the aim with half as much again go before tight fits.
-            rank = 2 if hint and now + seat.unit * hint > aim else 0
             # Where starts are not told, one with an own job out is less surely ready than one without.
-            rank += 1 if seat.out and not told else 0
+            rank = 2 * (hint > 0 and now + seat.unit * hint > aim) + (not told and len(seat.out) > 0)
             rank += thin and risky and (seat.failed > 0.1 or not (seat.done_us or now < seat.cold_us))
             if rank < best_rank or (rank == best_rank and cost <= best_cost):
                 key = (rank, cost, seat.last, seat.rank)
@@ -399,8 +400,7 @@
             seat.limit = seat.limit + 1.0 if seat.limit >= 1 else min(1.0, seat.limit + 0.15)
 
     def _ended(self, now: int, event: api.AttemptEnded) -> None:
-        flight = self.flights.pop((event.job, event.attempt), None)
-        if flight is None:
+        if (flight := self.flights.pop((event.job, event.attempt), None)) is None:
             return
         seat, job, outcome = flight.seat, flight.job, event.outcome
         seat.out.discard((event.job, event.attempt))
@@ -417,6 +417,11 @@
             self.jobs.pop(event.job, None)
         elif event.job in self.jobs:
             klass = self._class(job)
+            if flight.heard_us and not job.request.work_hint_us and not klass.late_worth:
+                # It started and did not end: it is at least as long as it ran, and its aim grows with that.
+                ran = now - flight.heard_us + self.usual_us[job.request.job_class]
+                until = int(job.aim_us + max(0.0, klass.stretch - 1) * ran)
+                job.until_us = min(job.end_us - 1, max(job.until_us, until))
             # Where workers shed work that they had begun, unsafe jobs ran twice after a 'full'.
             if not outcome.never_ran or (outcome is api.Outcome.FULL and self.s.full_may_have_run):
                 until = flight.sent_us + klass.memory_us
@@ -424,11 +429,6 @@
                 job.ran, job.group = True, flight.group
                 if klass.repeat is api.Repeat.KEYED:
                     job.until_us = min(job.until_us, job.group_until_us)  # past it no worker may serve it
-            if flight.heard_us and not job.request.work_hint_us and not klass.late_worth:
-                # It started and did not end: it is at least as long as it ran, and its aim grows with that.
-                ran = now - flight.heard_us + self.usual_us[job.request.job_class]
-                until = int(job.aim_us + max(0.0, klass.stretch - 1) * ran)
-                job.until_us = min(job.end_us - 1, max(job.until_us, until))
             if not job.pending:
                 over = outcome in (api.Outcome.TIMEOUT, api.Outcome.NOT_SENT)
                 over = over or (job.ran and klass.repeat is api.Repeat.UNSAFE)
@@ -447,8 +447,9 @@
         if outcome is api.Outcome.COMPLETED:
             seat.errors, seat.failed = 0.75 * seat.errors, 0.75 * seat.failed
             seat.faults = seat.faults if seat.errors >= 0.25 else 0
-            seat.done_us, seat.doubt_us = now, 0
-            self.served.add(now, took_us, self.s.cold_us)
+            seat.done_us, seat.doubt_us, self.budget = now, 0, min(MOST_RETRIES, self.budget + RETRY_SHARE)
+            if seat.shut_us < inf:
+                self.served.add(now, took_us, self.s.cold_us)
             return self._learn(now, flight, took_us)
         idle = outcome in (api.Outcome.CANCELLED, api.Outcome.NOT_SENT) and not late
         if idle or flight.sent_us < seat.back_us:
@@ -498,8 +499,7 @@
         self._eject(now, seat, "silent")
         for key in sorted(seat.out):
             job, flight = self.flights[key].job, self.flights[key]
-            klass = self._class(job)
-            if klass.repeat is api.Repeat.SAFE and not flight.dropped and key[0] in self.jobs:
+            if self._class(job).repeat is api.Repeat.SAFE and not flight.dropped and key[0] in self.jobs:
                 flight.dropped = True
                 self.out.append(api.Cancel(*key))
 
@@ -575,8 +575,7 @@
             self.out.append(api.Subscribe())
         elif event.tag.startswith(("look ", "overdue ")):
             what, number, attempt = event.tag.split()
-            key = (int(number), int(attempt))
-            if (flight := self.flights.get(key)) is None or flight.dropped:
+            if (flight := self.flights.get(key := (int(number), int(attempt)))) is None or flight.dropped:
                 return
             if what == "look":
                 self._look(now, key, flight)
@@ -592,14 +591,15 @@
         safe, keyed = klass.repeat is api.Repeat.SAFE, klass.repeat is api.Repeat.KEYED
         room = safe or (keyed and any(now >= x.shut_us and not x.out and klass.group_of(x.entry) ==
                                       flight.group for x in self.seats.values()))
-        if waiting and room and key[1] == 0 and now < job.until_us:
+        if waiting and room and key[1] == 0 and now < job.until_us and self.budget >= 1:
             due = now  # own jobs can't tell where those of others are; a start that does not come does
         elif waiting and not klass.late_worth:  # a jam must not be spent on late answers
             due = job.aim_us + (klass.stretch - 1) * self.class_us[number] / 4
+            due = due if self.budget >= 1 else max(due, now + self.tick_us)
         elif klass.late_worth and safe and flight.heard_us and self.silence_us:
             due = flight.heard_us + self.silence_us
         if now >= due:
-            flight.dropped = True
+            flight.dropped, self.budget = True, self.budget - 1
             self.out.append(api.Cancel(*key))
         elif due < inf:
             self.out.append(api.SetTimer(int(due - now) + 1, f"look {key[0]} {key[1]}"))
--- a/robinhill/memory.py
+++ b/robinhill/memory.py
@@ -16,7 +16,7 @@
 # Of the module as a whole; means by number (of kind or zone) apart.
 LEARNED = (
     "sends", "rate_us", "began_us", "rate", "priced_rate", "mean_us", "class_us", "usual_us", "hint_us",
-    "full_us", "given_up", "shed", "worth", "asked_us", "free_us", "spare",
+    "full_us", "given_up", "budget", "shed", "worth", "asked_us", "free_us", "spare",
 )  # fmt: skip
 
 
@@ -92,8 +92,8 @@
     return {"request": request, "values": _scalars(job), "flights": flights}
 
 
-def resume(balancer: Balancer, now: int, told: Json) -> list[api.Action]:
-    """Take a job that another process has let go; what is to be done for it."""
+def resume(balancer: Balancer, now: int, told: Json, own: bool = False) -> list[api.Action]:
+    """Take a job that another process has let go, or an ``own`` one back; what is to be done for it."""
     job = _Job(api.Request(**told["request"]))
     _set(job, told["values"])
     number = job.request.job
@@ -107,7 +107,7 @@
         flight = balancer.flights[key] = _Flight(seat, now, job, 0, -1)
         _set(flight, there["values"])
         seat.out.add(key)
-        seat.limit += 1.0
+        seat.limit += 0.0 if own else 1.0  # `recall` took that room away; `release` did not
         if there["waiting"]:
             seat.waiting = flight
     balancer.out = []
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -1,6 +1,7 @@
 """The inbound side: the listener for clients, for the front's /ready and for the endpoints' calls."""
 
 import asyncio
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -77,6 +78,10 @@
         self._listener.listen(sock)
 
     async def close(self) -> None:
+        """Refuse what still comes, let its answers leave, and end; at once where answers are owed."""
+        self.leaving = self.closed_to_new = True
+        if not self.owed:
+            await self._listener.leave()
         self._listener.close()
         await self._listener.shutdown(1.0)
 
@@ -87,10 +92,8 @@
             # Our successor is at the same address: a no on a connection to us would keep clients from it.
             ready = self.ready or (self.succeeded and not self.drained)
             return self._respond(Answer(200 if ready else 503, b"", close=True))
-        if adopted := connection_of(request).adopted:
+        if adopted := connection_of(request).take_adopted():
             assert isinstance(adopted, _Answering)
-            connection_of(request).adopted = None
-            connection_of(request).claim(useful=True)
             return await self._answer(connection_of(request), adopted)
         if request.method != "POST":
             return reject(request, 405, "jobs come by POST")
@@ -169,30 +172,33 @@
 
     @property
     def settled(self) -> bool:
-        """Whether nothing is owed, and no request is half here."""
-        return not self.owed and not any(connection.halfway for connection in self._listener.open)
+        """Whether nothing is owed, and no request is half here or may be on its way."""
+        now = asyncio.get_running_loop().time()
+        return not self.owed and not any(c.unsettled(now) for c in self._listener.open)
 
     async def hand_over(
         self,
         release: Callable[[JobRequest], Awaitable[Json | None]],
-        send: Callable[[Json, int | None], Awaitable[bool]],
+        send: Callable[[Json, int, JobRequest, asyncio.Future[Answer]], Awaitable[bool]],
     ) -> None:
         """Let another process answer what is owed, as far as it can go now; idle connections end."""
         self._listener.retire_idle()
         for connection, owed in list(self.answering.items()):
+            if not self.succeeded:
+                return  # it has gone
             if not connection.hold():
                 continue
+            if (fd := connection.hand_over()) is None:  # before anything is let go
+                connection.stay()
+                continue
             told = await release(owed.request)
             if told is None:
+                os.close(fd)
                 connection.stay()
-            elif await send(
-                told | {"request": messages.write_handed(owed.request)}, connection.hand_over()
-            ):
+            elif await send(told, fd, owed.request, owed.reply):
                 connection.forget()
             else:
                 connection.stay()
-                if not owed.reply.done():
-                    owed.reply.set_result(messages.FAILED)
 
     async def adopt(self, request: JobRequest, reply: asyncio.Future[Answer], fd: int) -> None:
         """Answer what another process was owing."""
@@ -204,4 +210,3 @@
         if not self.ready or answer.close:
             response.force_close()
         return response
-
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -1,6 +1,7 @@
 """The embeddable scheduler: ``start`` it, ``drain`` it, ``close`` it; or ``run`` does all three."""
 
 import asyncio
+import contextlib
 import logging
 import os
 import random
@@ -10,14 +11,14 @@
 from typing import TYPE_CHECKING, Any
 
 from robinhill import config as configuration
+from robinhill import listing
 from robinhill.config import Config, OperatorFile
-from robinhill.listing import Pace
 from robinhill.net import logs, messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
 from robinhill.net.connections import bind, inherit
 from robinhill.net.decider import Adopt, Decider, HoldOut, Release, Taken
-from robinhill.net.destinations import Destinations, Move, Watch
+from robinhill.net.destinations import Destinations, Move
 from robinhill.net.figures import Figures
 from robinhill.net.inbound import Inbound
 from robinhill.net.link import LinkLostError
@@ -35,7 +36,6 @@
 
 Json = dict[str, Any]
 TAKE_ON_S = 0.7  # after SIGTERM: what still arrives in this time is taken
-FLUSH_S = 0.05  # for the last answers to leave
 HAND_OVER_S = 0.05  # how often what is owed is looked at while a successor takes it
 LIST_S = 1.5  # for discovery's first answer, where clients wait for it; older lists count meanwhile
 START_S = 0.9  # an operator's call to a process that still starts is answered no after it
@@ -52,10 +52,9 @@
         self.clock = Clock(config.clock_offset_us)
         self.supervisor = Supervisor()
         self.figures = Figures(config.classes)
-        self.decider = Decider(
-            config, self.supervisor, self.clock, self.figures, lambda: self.destinations.tell(Watch())
-        )
-        pace = Pace(not config.settings.must_subscribe, random.Random(config.seed))
+        # The list is watched from the start on, whether or not the module asks for it.
+        self.decider = Decider(config, self.supervisor, self.clock, self.figures, lambda: None)
+        pace = listing.by_settings(config.settings, random.Random(config.seed))
         self.destinations = Destinations(
             config.discovery, config.known.generation, pace, self.clock, self.supervisor, self.decider.tell
         )
@@ -195,7 +194,7 @@
         """Take requests a little longer, then refuse new ones, until all that was taken is answered.
 
         The listener stays up: endpoints call back at the clients' address. Where a successor has it, that one
-        also takes what is owed.
+        also takes what is owed. `close` answers what is half here then.
         """
         log.info("draining", extra={"owed": self.inbound.owed})
         self.inbound.leaving = True
@@ -204,8 +203,12 @@
         await asyncio.sleep(TAKE_ON_S)
         self.inbound.closed_to_new = True
         log.info("refusing", extra={"owed": self.inbound.owed})
-        await self.inbound.none_owed.wait()
-        await asyncio.sleep(FLUSH_S)
+        while self.inbound.owed:
+            if await self._leave_to_successor():  # it has come only now
+                return
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HAND_OVER_S):
+                    await self.inbound.none_owed.wait()
 
     async def _leave_to_successor(self) -> bool:
         """Whether there was one until all was settled."""
@@ -214,7 +217,6 @@
         while self.inbound.succeeded:
             await self.inbound.hand_over(self._release, self._send_over)
             if self.inbound.settled:
-                await asyncio.sleep(FLUSH_S)
                 return self.inbound.succeeded
             await asyncio.sleep(HAND_OVER_S)
         if self.door:
@@ -293,20 +295,38 @@
         told = await reply
         return told and told | {"door": at_door}
 
-    async def _send_over(self, told: Json, fd: int | None) -> bool:
-        """Whether the successor has a request now; without a descriptor its client has gone."""
-        request_id = told["request"]["id"]
+    async def _send_over(
+        self, told: Json, fd: int, request: JobRequest, reply: asyncio.Future[Answer]
+    ) -> bool:
+        """Whether the successor has a request now; else it is ours again, or answered."""
+        taken, sent = False, False
+        body = told | {"request": messages.write_handed(request)}
         try:
-            if fd is None:
-                return False
-            assert self.succession and self.succession.successor
-            await self.succession.successor.ask("adopt", told, fd)
-        except LinkLostError:
-            return False
-        finally:
-            self.decider.moved(request_id)
-        log.info("handed_over", extra={"id": request_id})
-        return True
+            if self.succession and (successor := self.succession.successor):
+                taken = (await successor.ask("adopt", body, fd)).get("taken", True)
+            else:
+                os.close(fd)  # it has gone since the request was let go
+        except LinkLostError as e:
+            sent = e.sent
+        if sent:
+            # It had the request and may have sent it on, so no other attempt may follow.
+            if not reply.done():
+                reply.set_result(messages.FAILED)
+        elif not taken:
+            await self._take_back(told, request, reply)
+        self.decider.moved(request.id)
+        if taken:
+            log.info("handed_over", extra={"id": request.id})
+        return taken
+
+    async def _take_back(self, told: Json, request: JobRequest, reply: asyncio.Future[Answer]) -> None:
+        """Go on ourselves with a request that no successor has had."""
+        if self.door and "waiting" in told["door"]:
+            self.door.put_in(request, told["door"], reply, False)
+            return
+        done = asyncio.Event()
+        self.decider.tell(Adopt(request, told | {"timers": []}, reply, done, own=True))  # ours are set
+        await done.wait()
 
     def hello(self) -> Json:
         """What a successor needs to watch discovery by itself; it takes a part of what we may use."""
@@ -340,7 +360,10 @@
         self.decider.tell(event)
         return True
 
-    async def adopt(self, body: Json, fd: int) -> None:
+    async def adopt(self, body: Json, fd: int) -> bool:
+        if self.inbound.leaving:
+            os.close(fd)
+            return False
         request = messages.read_handed(body["request"])
         reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         at_door = body.get("door") or {}
@@ -350,11 +373,12 @@
             if not self.door:  # it has waited long enough
                 self.decider.tell(Taken(request, waiting["arrived_us"], reply))
             await self.inbound.adopt(request, reply, fd)
-            return
+            return True
         done = asyncio.Event()
         self.decider.tell(Adopt(request, body, reply, done))
         await done.wait()
         await self.inbound.adopt(request, reply, fd)
+        return True
 
     async def close(self) -> None:
         if self.operators:
