Count only those that waited out of a tenant's queue at the door

At fault: Door._admit took one from the count for each request that goes in, also for one that goes in at once and was never counted. With a limit on a tenant's queue it let more wait than it should. Tested directly, and the property now wants the counts to add up to those that wait.

--- a/robinhill/door/door.py
+++ b/robinhill/door/door.py
@@ -139,7 +139,7 @@
         self.network_meters = meters
         if not options.enabled:
             while self.rounds.length and (ticket := self.rounds.take(self.now, _always, _always)):
-                self._admit(ticket)
+                self._let_in(ticket)
         return self._end()
 
     def repin(self) -> None:
@@ -318,7 +318,7 @@
             self.rounds.quantum_us = max(self.costs.by_class)
             while ticket := self.rounds.take(self.now, self.windows.open, self.windows.roomy):
                 self.promises.drained(self.now, ticket.queue.lines[ticket.job_class])
-                self._admit(ticket)
+                self._let_in(ticket)
         return self.out
 
     def _ticket(self, ask: Ask, account: Account | None) -> Ticket:
@@ -373,10 +373,12 @@
         listed = self.options.networks
         return listed[ticket.network].network if ticket.network < len(listed) else ""
 
+    def _let_in(self, ticket: Ticket) -> None:
+        """One that waited."""
+        self._present[ticket.tenant].queued -= 1
+        self._admit(ticket)
+
     def _admit(self, ticket: Ticket) -> None:
-        if ticket.number in self.tickets and not ticket.let_in_us:
-            present = self._present[ticket.tenant]
-            present.queued = max(0, present.queued - 1)
         ticket.let_in_us = self.now
         self.windows.enter(ticket.job_class)
         ticket.inside = True
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -418,3 +418,18 @@
             accounts.serve(step * MS, light, 100.0)
         assert len(accounts.by_tenant) <= 16
     assert {a.name for a in accounts.heaviest(4)} == {"h0", "h1", "h2", "h3"}
+
+
+def test_what_goes_in_unqueued_takes_nothing_from_its_tenants_count_of_those_that_wait() -> None:
+    """A request of which no time is left goes in at once, past others of its tenant that wait."""
+    fleet = Fleet(slots=1)
+    for _ in range(20):
+        fleet.ask("a")
+    door = fleet.door
+    (present,) = door._present.values()
+    before = present.queued
+    assert before == door.waiting > 0
+    caller = door.directory.find("a", "10.0.0.1", "late")
+    actions = door.arrive(fleet.now, Ask(1_000, LOOKUP, caller, fleet.now, 0))
+    assert [a.number for a in actions if isinstance(a, Admit)] == [1_000]
+    assert present.queued == door.waiting == before
--- a/tests/test_door_properties.py
+++ b/tests/test_door_properties.py
@@ -121,6 +121,7 @@
         # Its memory is that of what is there: a name leaves nothing behind.
         assert sum(p.open for p in self.door._present.values()) == len(self.state)
         assert all(p.open > 0 and p.queued >= 0 for p in self.door._present.values())
+        assert sum(p.queued for p in self.door._present.values()) == len(waiting)
         for job_class in (0, 1):
             unplaced = [
                 n for n, s in self.state.items()
