--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -276,10 +276,7 @@
 
     def _unread(self) -> bool:
         """Whether bytes wait that we have not come to: such a peer is neither silent nor idle."""
-        if self._wire is None:
-            return False
-        waiting = fcntl.ioctl(self._wire.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0" * 4)
-        return bool(struct.unpack("i", waiting)[0])
+        return self._wire is not None and unread(self._wire) > 0
 
     def _enter(self, phase: _Phase) -> None:
         self._phase, self._since = phase, self._loop.time()
@@ -322,6 +319,12 @@
         return str((self._wire.get_extra_info("peername") or "?")[0]) if self._wire else "?"
 
 
+def unread(transport: asyncio.BaseTransport) -> int:
+    """How many bytes wait in the kernel that nobody has read."""
+    fd = transport.get_extra_info("socket").fileno()
+    return int(struct.unpack("i", fcntl.ioctl(fd, termios.FIONREAD, b"\0" * 4))[0])
+
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -1,10 +1,7 @@
 """An endpoint: the actor that owns the attempts at one worker, their connections, cancels and probes."""
 
 import asyncio
-import fcntl
 import logging
-import struct
-import termios
 from collections.abc import Callable, Coroutine
 from contextvars import ContextVar
 from dataclasses import dataclass
@@ -22,6 +19,7 @@
 from robinhill.net import messages
 from robinhill.net.actor import Actor, Supervisor
 from robinhill.net.clock import Clock
+from robinhill.net.connections import unread
 from robinhill.net.figures import Figures
 from robinhill.net.messages import Destination, JobEvent, JobRequest, JobState, Lifecycle
 
@@ -241,11 +239,10 @@
 
     def _unread(self) -> bool:
         assert self.transport
-        sock = self.transport.get_extra_info("socket")
-        if not (count := struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4))[0]):
+        if not unread(self.transport):
             return False
         self._end()
-        return bool(count)
+        return True
 
     def _end(self) -> None:
         assert self.transport
