Drop the decider's call for a watch, which nothing heeds any more

Since the pace alone decides when discovery is called, the callback did nothing and every caller passed an empty one. The module's wish to subscribe is passed over where its actions are carried out.

--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -167,13 +167,11 @@
         supervisor: Supervisor,
         clock: Clock,
         figures: Figures,
-        subscribe: Callable[[], None],
     ) -> None:
         super().__init__("decider", supervisor)
         self.config = config
         self.clock = clock
         self.figures = figures
-        self.subscribe = subscribe
         self.balancer = Balancer(config.settings, config.seed)
         self.held: dict[int, _Held] = {}
         self.jobs: dict[str, int] = {}  # the wire's ids are text, the module's numbers
@@ -267,7 +265,7 @@
                 case api.SetTimer(after_us=after, tag=tag):
                     self._set_timer(after, tag)
                 case api.Subscribe():
-                    self.subscribe()
+                    pass  # the list is watched from the start on, whenever the module asks for it
                 case api.Probe(address=address):
                     if self._is_out(self.destinations.get(address), address):
                         # An operator's worker gets nothing, and its silence is no news.
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -52,8 +52,7 @@
         self.clock = Clock(config.clock_offset_us)
         self.supervisor = Supervisor()
         self.figures = Figures(config.classes)
-        # The list is watched from the start on, whether or not the module asks for it.
-        self.decider = Decider(config, self.supervisor, self.clock, self.figures, lambda: None)
+        self.decider = Decider(config, self.supervisor, self.clock, self.figures)
         pace = listing.by_settings(config.settings, random.Random(config.seed))
         self.destinations = Destinations(
             config.discovery, config.known.generation, pace, self.clock, self.supervisor, self.decider.tell
--- a/tests/test_decider.py
+++ b/tests/test_decider.py
@@ -23,7 +23,7 @@
     async def repeat() -> None:
         clock = Clock()
         given = config.load({"GW_CONFIG": str(path)})
-        decider = Decider(given, Supervisor(), clock, Figures(given.classes), lambda: None)
+        decider = Decider(given, Supervisor(), clock, Figures(given.classes))
         first, second = (messages.JobRequest("j1", 1, 25_000_000, False, "/x", b"", ()) for _ in range(2))
         replies = [asyncio.get_running_loop().create_future() for _ in range(2)]
         replies[1].cancel()  # its client has gone before the decider looks
@@ -44,7 +44,7 @@
 
     async def leave() -> None:
         clock, supervisor, given = Clock(), Supervisor(), config.load({"GW_CONFIG": str(path)})
-        decider = Decider(given, supervisor, clock, Figures(given.classes), lambda: None)
+        decider = Decider(given, supervisor, clock, Figures(given.classes))
         decider.start()
         request = messages.JobRequest("j1", 1, 25_000_000, False, "/x", b"", ())
         decider.receive(Taken(request, clock.now_us(), asyncio.get_running_loop().create_future()))
--- a/tests/test_endings_workers.py
+++ b/tests/test_endings_workers.py
@@ -473,7 +473,7 @@
         path.write_text(json.dumps(given))
         loaded = config.load({"GW_CONFIG": str(path)})
         self.supervisor, self.clock = Supervisor(), Clock()
-        self.decider = Decider(loaded, self.supervisor, self.clock, Figures(loaded.classes), lambda: None)
+        self.decider = Decider(loaded, self.supervisor, self.clock, Figures(loaded.classes))
         self.decider.start()
 
     @property
