Log and count by which list attempts go out, and why things are refused and closed

ListLease holds origin, version and age; an endpoint logs and counts them as an attempt goes out. Refusals, retries and closes have reasons.

--- a/robinhill/api.py
+++ b/robinhill/api.py
@@ -302,12 +302,22 @@
     timeout_us: int = 0
 
 
+class RefusalReason(Enum):
+    """Why a request is refused; for log lines and figures, no wire tells it."""
+
+    NO_WORKER = "no_worker"  # none could take it for as long as it was worth holding
+    OVERLOAD = "overload"  # own waits show an overload, and a share of requests is refused at once
+    ATTEMPTS_SPENT = "attempts_spent"  # it has had as many as one request may have
+    ATTEMPT_ENDED = "attempt_ended"  # its last attempt ended with no time or place for another
+
+
 @dataclass(slots=True)
 class Refuse:
     """Final answer: declined, trying again does no harm."""
 
     job: int
     retry_in_us: int = 0
+    why: RefusalReason = field(default=RefusalReason.NO_WORKER, compare=False)
 
 
 @dataclass(slots=True)
--- a/robinhill/emulator/site.py
+++ b/robinhill/emulator/site.py
@@ -83,10 +83,19 @@
         return sum(k.work_ms * k.share for k in self.kinds) / sum(k.share for k in self.kinds)
 
 
+_given: set[int] = set()  # ports that free_address has given out; nothing may listen there yet
+
+
 def free_address() -> str:
-    """A loopback address that nothing listens on, and that no outgoing connection gets as its own end."""
-    for port in random.sample(PORTS, 64):
+    """A loopback address that nothing listens on, and that no outgoing connection gets as its own end.
+
+    The same is never given twice: with 37 processes two of them got one port, as neither listened yet.
+    """
+    for port in random.sample(PORTS, len(PORTS)):
+        if port in _given:
+            continue
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind((LOOPBACK, port))
+            _given.add(port)
             return f"{LOOPBACK}:{port}"
     raise OSError("no free port was found")
--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -153,7 +153,7 @@
         job.hold_until_us = min(job.hold_until_us, job.group_until_us or job.hold_until_us)
         # In an overload that own waits show, a share is refused at once.
         if self.shed and self.random.random() * worth < self.shed * self.estimates.mean_worth:
-            self._give_up(job)
+            self._give_up(job, api.RefusalReason.OVERLOAD)
         else:
             self.place(now, job)
 
@@ -169,15 +169,17 @@
 
     def place(self, now: int, job: JobRecord) -> None:
         """Send the job, or hold it for a worker, or end it."""
-        if now >= job.hold_until_us or job.tries >= self.settings.max_attempts:
-            self._give_up(job)
+        if job.tries >= self.settings.max_attempts:
+            self._give_up(job, api.RefusalReason.ATTEMPTS_SPENT)
+        elif now >= job.hold_until_us:
+            self._give_up(job, api.RefusalReason.NO_WORKER)
         elif (worker := self._pick_worker(now, job)) is not None:
             self._send(now, job, worker)
         else:
             self.held.add(job)
             self._set_held_timer(now, job.hold_until_us)
 
-    def _give_up(self, job: JobRecord, unconfirmed: bool = False) -> None:
+    def _give_up(self, job: JobRecord, why: api.RefusalReason, unconfirmed: bool = False) -> None:
         """One final answer; a refusal only where it is true that trying again does no harm."""
         self.jobs.pop(job.request.job, None)
         self.client_tries.given_up += 1
@@ -190,7 +192,7 @@
             # Late tries worth nothing are spared by the longest advice, others come back after a job's time.
             wait = self.settings.max_retry_after_us
             wait = min(wait, int(self.job_times.mean_us)) if klass.late_worth else wait
-        self.actions.append(api.Refuse(job.request.job, wait))
+        self.actions.append(api.Refuse(job.request.job, wait, why))
 
     def _set_held_timer(self, now: int, until_us: int) -> None:
         """A timer for held jobs: at the first that must be answered, and often enough to see room."""
@@ -445,7 +447,8 @@
         over = outcome in (api.Outcome.TIMEOUT, api.Outcome.NOT_SENT)
         if over or (job.ran and klass.repeat is api.Repeat.UNSAFE):
             # A withdrawal that can't be confirmed, before its time is up: the client may move it at once.
-            self._give_up(job, unconfirmed=attempt.withdrawn and now < job.hold_until_us)
+            unconfirmed = attempt.withdrawn and now < job.hold_until_us
+            self._give_up(job, api.RefusalReason.ATTEMPT_ENDED, unconfirmed)
         else:
             self.place(now, job)
 
--- a/robinhill/net/admission.py
+++ b/robinhill/net/admission.py
@@ -221,6 +221,7 @@
         entry = self._forget(refusal.number)
         assert entry, "a refusal is of a request that waits here"
         request, reply = entry.taken.request, entry.taken.reply
+        self.figures.refusals["admission"] += 1
         answer = messages.excess(refusal.retry_us) if refusal.own else messages.fail_fast(refusal.retry_us)
         self.figures.answered(request.job_class, answer)
         if self.tape:
--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -52,6 +52,18 @@
     ENDING = auto()  # the last answer is written; what still comes is dropped
 
 
+class CloseReason(Enum):
+    """Why this side ends a client's connection; for log lines and figures."""
+
+    ANSWERED = "answered"  # behind an answer that says so, or after its time of rest
+    EXCESS = "excess"  # more came behind a request than is kept
+    LATE = "late"  # no whole request came in time
+    RETIRED = "retired"  # between requests, while clients are sent elsewhere
+    LEAVING = "leaving"  # this process ends
+    ROOM = "room"  # others need its descriptor
+    HANDED_OVER = "handed_over"  # another process goes on with it
+
+
 class _LingeringTransport:
     """A transport whose close reads on for a while.
 
@@ -66,7 +78,7 @@
         return getattr(self._transport, name)
 
     def close(self) -> None:
-        self._connection.end()
+        self._connection.end(CloseReason.ANSWERED)
 
     def pause_reading(self) -> None:
         self._connection.pause()
@@ -155,7 +167,7 @@
         if self._excess and self._wire and self._phase is _Phase.BUSY:
             if finished[0].keep_alive:
                 self._wire.write(EXCESS)
-            self.end()
+            self.end(CloseReason.EXCESS)
         elif self._phase is _Phase.BUSY and (self._more or self._messages):
             self._wait()  # a part of the next request may be here already
         elif self._phase is not _Phase.ENDING:
@@ -173,10 +185,11 @@
             return super().handle_error(request, status, exc, message)
         return reject(request, status, (message or "not HTTP").partition("\n")[0])
 
-    def end(self) -> None:
+    def end(self, why: CloseReason) -> None:
         """Send what is written and the end of it, then drop what comes until the peer ends or time is up."""
         if self._wire is None or self._phase is _Phase.ENDING:
             return
+        self._note_close(why)
         self._enter(_Phase.ENDING)
         with contextlib.suppress(OSError):  # the peer has gone already
             self._wire.write_eof()
@@ -187,6 +200,7 @@
         """Close at once; only for what `spare` has named."""
         self.dropped = True
         if self._wire:
+            self._note_close(CloseReason.ROOM)
             self._wire.abort()
 
     def spare(self, now: float) -> tuple[int, float] | None:
@@ -211,7 +225,7 @@
     def retire(self, now: float) -> None:
         """End it if it is a client's and carries nothing; what is on its way will be sent elsewhere."""
         if not self.calls_back and self.resting(now):
-            self.end()
+            self.end(CloseReason.RETIRED)
 
     def resting(self, now: float) -> bool:
         """It carries nothing, and nothing waits to be read."""
@@ -272,8 +286,13 @@
         """It is another process's now: our descriptor closes, the connection stays."""
         self.handed = True
         if self._wire:
+            self._note_close(CloseReason.HANDED_OVER)
             self._wire.abort()
 
+    def _note_close(self, why: CloseReason) -> None:
+        self.listener.closed(why)
+        log.debug("connection_closed", extra={"peer": self.peer(), "why": why.value})
+
     def _unread(self) -> bool:
         """Whether bytes wait that we have not come to: such a peer is neither silent nor idle."""
         return self._wire is not None and unread(self._wire) > 0
@@ -298,7 +317,7 @@
         if self._more:
             log.warning("malformed", extra={"peer": self.peer(), "status": 408, "why": "half a request"})
             self._wire.write(LATE)
-        self.end()
+        self.end(CloseReason.LATE)
 
     def _whole(self) -> bool:
         """A whole request has been read that the handler has not come to."""
@@ -331,7 +350,15 @@
 class Listener(web.Server):
     """Accepts connections as far as the budget of descriptors goes, and closes the idlest to keep to it."""
 
-    def __init__(self, handler: Handler, budget: int, supervisor: Supervisor, max_body: int) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        budget: int,
+        supervisor: Supervisor,
+        max_body: int,
+        closed: Callable[[CloseReason], None] = lambda why: None,
+    ) -> None:
+        """``closed`` hears why this side ends a connection, each time."""
         super().__init__(
             self._handle,
             handler_cancellation=True,
@@ -344,6 +371,7 @@
             lingering_time=0,  # `Connection.end` lingers
         )
         self.handler = handler
+        self.closed = closed
         self.max_body = max_body
         self.budget = budget
         self.supervisor = supervisor
@@ -409,7 +437,7 @@
             self._socket.close()
             self._socket = None
         for connection in list(self.open):
-            connection.end()
+            connection.end(CloseReason.LEAVING)
 
     async def leave(self) -> None:
         """End connections between requests, and those that carry one behind its answer; then `close`."""
@@ -420,7 +448,7 @@
             now = self._loop.time()
             for connection in list(self.open):
                 if connection.resting(now):
-                    connection.end()
+                    connection.end(CloseReason.LEAVING)
             if self._coming or any(c.unsettled(now) for c in self.open):
                 flushed = now
                 if now - begun >= REQUEST_S + GRACE_S:
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -8,6 +8,7 @@
 
 from robinhill import api, keys, memory
 from robinhill.config import Config
+from robinhill.list_lease import ListLease, ListOrigin
 from robinhill.logic import Balancer
 from robinhill.net import endpoint as ep
 from robinhill.net import messages
@@ -79,6 +80,15 @@
 
     list: DestinationList | None
     cached: bool = False
+    heard_us: int = 0  # when its last byte was read
+
+
+@dataclass(slots=True, frozen=True)
+class ListConfirmed:
+    """Discovery has said that nothing has changed since ``version``; read at ``heard_us``."""
+
+    version: int
+    heard_us: int
 
 
 @dataclass(slots=True, frozen=True, eq=False)
@@ -131,8 +141,8 @@
 
 
 ToDecider = (
-    Taken | ClientLeft | Listed | HoldOut | Cordoned | Lease | Release | Adopt | Due | JobEvent
-    | ep.Started | ep.Ended | ep.Probed | ep.Retired | ep.Gone
+    Taken | ClientLeft | Listed | ListConfirmed | HoldOut | Cordoned | Lease | Release | Adopt | Due
+    | JobEvent | ep.Started | ep.Ended | ep.Probed | ep.Retired | ep.Gone
 )  # fmt: skip
 
 
@@ -149,6 +159,7 @@
     began_us: int = 0  # when the attempt that is out began to run; 0: not that we know of
     endpoints: list[str] = field(default_factory=list)  # of each attempt so far
     endings: list[str] = field(default_factory=list)  # what became of each that is over, for the log
+    last_outcome: api.Outcome | None = None  # of these, the last one that ended here
     returned: list[str] = field(default_factory=list)  # endpoints that handed it back
     leaving: asyncio.Future[Json | None] | None = None  # while it is to go to another process
 
@@ -167,8 +178,11 @@
         supervisor: Supervisor,
         clock: Clock,
         figures: Figures,
+        list_lease: ListLease | None = None,
     ) -> None:
         super().__init__("decider", supervisor)
+        self.list_lease = list_lease or ListLease()
+        figures.list_lease = self.list_lease
         self.config = config
         self.clock = clock
         self.figures = figures
@@ -202,6 +216,9 @@
         self.tenants = {name: number for number, name in enumerate(config.tenants)}
 
     def start(self, known: DestinationList | None = None) -> None:
+        """Begin with a predecessor's list, or with that of the configuration."""
+        origin = ListOrigin.PREDECESSOR if known else ListOrigin.CONFIGURATION
+        self.list_lease.known(origin, (known or self.config.known).generation)
         self._perform(self.balancer.start(self.clock.now_us()))
         self._listed(Listed(known or self.config.known, cached=True))
         super().start()
@@ -231,6 +248,8 @@
                 self._client_left(request)
             case Listed():
                 self._listed(message)
+            case ListConfirmed(version=version, heard_us=heard_us):
+                self.list_lease.confirmed(heard_us, version)
             case HoldOut(instance_id=instance_id, out=out, reply=reply, known=known):
                 answer = self._hold_out(instance_id, out, known)
                 if not reply.done():
@@ -256,8 +275,8 @@
             match action:
                 case api.Send():
                     self._send(action)
-                case api.Refuse(job=job, retry_in_us=wait):
-                    self._answer(job, messages.fail_fast(wait))
+                case api.Refuse(job=job, retry_in_us=wait, why=why):
+                    self._refuse(job, wait, why)
                 case api.Fail(job=job):
                     self._answer(job, messages.FAILED)
                 case api.Cancel(job=job, attempt=attempt):
@@ -308,8 +327,18 @@
             asked.group, asked.group_until_us = place.group, place.until_us
         self._decide(api.Arrived(asked))
 
+    def _refuse(self, job: int, retry_in_us: int, why: api.RefusalReason) -> None:
+        self.figures.refusals[why.value] += 1
+        if log.isEnabledFor(logging.DEBUG):
+            held = self.held[job]
+            told = {"id": held.request.id, "why": why.value, "attempts": ", ".join(held.endings)}
+            log.debug("request_refused", extra=told | self.list_lease.fields(self.clock.now_us()))
+        self._answer(job, messages.fail_fast(retry_in_us))
+
     def _send(self, action: api.Send) -> None:
         held = self.held[action.job]
+        if held.endings:
+            self._note_retry(held)
         until_us = held.deadline_us
         if action.timeout_us:
             until_us = min(until_us, self.clock.now_us() + action.timeout_us)
@@ -327,6 +356,11 @@
             )
         )  # fmt: skip
 
+    def _note_retry(self, held: _Held) -> None:
+        if held.last_outcome:
+            self.figures.retries[held.last_outcome.value] += 1
+        log.debug("attempt_again", extra={"id": held.request.id, "after": held.endings[-1]})
+
     def _write_until(self, held: _Held) -> int:
         """A connect can outlast the window in which workers drop a repeat of a keyed request."""
         klass, job = self.config.settings.classes[held.request.job_class], self.balancer.jobs.get(held.job)
@@ -361,6 +395,7 @@
         endpoint = held.endpoints[ended.attempt]
         if self.tape:
             self.tape.attempted(held.request, endpoint, ended.outcome, ended.took_us, held.began_us)
+        held.last_outcome = ended.outcome
         held.endings.append(f"{endpoint} {ended.outcome.value} {ended.took_us // 1000}ms")
         never_ran = ended.outcome.never_ran and not (
             ended.outcome is api.Outcome.FULL and self.config.settings.full_may_have_run
@@ -539,6 +574,8 @@
     def _listed(self, listed: Listed) -> None:
         if not listed.cached:
             self.listed_once.set()
+            if listed.list:
+                self.list_lease.confirmed(listed.heard_us, listed.list.generation)
         if listed.list is None:
             self._decide(api.WorkersListed(api.ListKind.FAILED))
             return
@@ -579,6 +616,7 @@
             self.figures,
             self.tell,
             self.may_send,
+            self.list_lease,
         )
         self.endpoints[told.instance_id] = endpoint
         endpoint.start()
@@ -691,7 +729,7 @@
         self.figures.pool_size = len(listed)
         out = {d.instance_id for d in self.listed() if self._is_out(d, d.instance_id)}
         self.figures.pool_ejected = len(listed & (out | self.balancer.avoided(self.clock.now_us())))
-        return Answer(200, self.figures.text().encode())
+        return Answer(200, self.figures.text(self.clock.now_us()).encode())
 
     async def close(self) -> None:
         for endpoint in self.endpoints.values():
--- a/robinhill/net/destinations.py
+++ b/robinhill/net/destinations.py
@@ -13,7 +13,7 @@
 from robinhill.net import messages
 from robinhill.net.actor import Actor, Supervisor
 from robinhill.net.clock import Clock
-from robinhill.net.decider import Listed
+from robinhill.net.decider import ListConfirmed, Listed
 
 log = logging.getLogger(__name__)
 
@@ -48,6 +48,7 @@
         clock: Clock,
         supervisor: Supervisor,
         report: Callable[[Listed], None],
+        confirm: Callable[[ListConfirmed], None] = lambda confirmed: None,
     ) -> None:
         super().__init__("destinations", supervisor)
         self.discovery = discovery
@@ -55,6 +56,7 @@
         self.pace = pace
         self.clock = clock
         self.report = report
+        self.confirm = confirm  # hears of each word that tells no change
         self.watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -116,9 +118,12 @@
                 self.pace.heard(self.clock.now_us())
                 if told:
                     self._told(told)
-                elif first:
+                else:
+                    self.confirm(ListConfirmed(self.generation or 0, self.pace.heard_us))
+                if first and not told:
                     # Nothing has changed: the module hears that its call has been answered.
-                    self.report(Listed(messages.DestinationList(self.generation or 0, False, ())))
+                    unchanged = messages.DestinationList(self.generation or 0, False, ())
+                    self.report(Listed(unchanged, heard_us=self.pace.heard_us))
                 first = False
 
     async def _in_time(self, work: Awaitable[Answered]) -> Answered:
@@ -134,7 +139,7 @@
 
     def _told(self, told: messages.DestinationList) -> None:
         self.generation = told.generation
-        self.report(Listed(told))
+        self.report(Listed(told, heard_us=self.pace.heard_us))
         log.info(
             "destinations",
             extra={"generation": told.generation, "reset": told.reset, "count": len(told.destinations)},
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -16,6 +16,7 @@
 from yarl import URL
 
 from robinhill.api import Outcome
+from robinhill.list_lease import ListLease
 from robinhill.net import messages
 from robinhill.net.actor import Actor, Supervisor
 from robinhill.net.clock import Clock
@@ -214,8 +215,9 @@
     aiohttp would keep such bytes and take them for the answer to the next request.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, note_close: Callable[[str], None]) -> None:
         super().__init__(loop)
+        self.note_close = note_close
         self._asked = False
 
     @property
@@ -246,21 +248,22 @@
 
     def _end(self) -> None:
         assert self.transport
+        self.note_close("unasked_answer")
         peer = self.transport.get_extra_info("peername") or ("?", 0)
         log.warning("unasked_answer", extra={"endpoint": f"{peer[0]}:{peer[1]}"})
         self.transport.abort()
 
 
-def _wire(loop: asyncio.AbstractEventLoop) -> ResponseHandler:
-    return _Wire(loop)
+def _wire(loop: asyncio.AbstractEventLoop, note_close: Callable[[str], None]) -> ResponseHandler:
+    return _Wire(loop, note_close)
 
 
 class _Connector(aiohttp.TCPConnector):
     """Gives out kept connections as long as they are fit to carry another request."""
 
-    def __init__(self, retire_s: float) -> None:
+    def __init__(self, retire_s: float, note_close: Callable[[str], None]) -> None:
         super().__init__(limit=0, limit_per_host=0, keepalive_timeout=retire_s)
-        self._factory = partial(_wire, asyncio.get_running_loop())
+        self._factory = partial(_wire, asyncio.get_running_loop(), note_close)
 
     async def _get(self, key: ConnectionKey, traces: list[Any]) -> Connection | None:
         while connection := await super()._get(key, traces):
@@ -299,6 +302,7 @@
                 raise _NotWrittenError(Outcome.CONNECT_FAILED)
             attempt.wire = wire
             attempt.phase = _Phase.WRITTEN
+            endpoint.note_send(attempt)
         wire.ask()
         conn.add_callback(wire.rest)
         response = await super().send(conn)
@@ -332,12 +336,14 @@
         figures: Figures,
         report: Callable[[FromEndpoint], None],
         may_send: Callable[[Destination], bool] | None = None,
+        list_lease: ListLease | None = None,
     ) -> None:
         super().__init__(f"endpoint {destination.instance_id}", supervisor)
         self.destination = destination
         self.clock = clock
         self.figures = figures
         self.report = report
+        self.list_lease = list_lease  # of the list by which attempts are sent; None: nothing tells
         self.may_send = may_send  # whether cordons and lease allow it at this moment; None: there are none
         self.connect_timeout_s = connect_timeout_us / 1e6
         self.retire_s = keepalive_us * RETIRE_SHARE / 1e6
@@ -367,9 +373,22 @@
         if not self.open or now >= attempt.write_until_us:
             raise _NotWrittenError(Outcome.CONNECT_FAILED)
 
+    def note_send(self, attempt: _Attempt) -> None:
+        """Count and log by which list an attempt goes out."""
+        if self.list_lease is None:
+            return
+        self.figures.sends[self.list_lease.origin] += 1
+        if log.isEnabledFor(logging.DEBUG):
+            told = {
+                "id": attempt.request.id,
+                "endpoint": self.destination.instance_id,
+                "attempt": attempt.number,
+            }
+            log.debug("attempt_sent", extra=told | self.list_lease.fields(self.clock.now_us()))
+
     def _new_session(self) -> aiohttp.ClientSession:
         session = aiohttp.ClientSession(
-            connector=_Connector(self.retire_s),
+            connector=_Connector(self.retire_s, self._note_close),
             request_class=_CheckedRequest,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=self.connect_timeout_s),
@@ -479,6 +498,7 @@
                 self._url(request.target), data=request.body, headers=headers, allow_redirects=False
             ) as response:
                 if not attempt.whole and attempt.wire is not None:
+                    self._note_close("early_answer")
                     attempt.wire.close()
                     raise aiohttp.ClientPayloadError("an answer before the request was whole")
                 # Told before the rest of the answer: a cancel from now on is a DELETE.
@@ -489,6 +509,7 @@
                     async with asyncio.timeout(LINGER_S):
                         await _read_rest(response)
                 elif attempt.wire is not None:
+                    self._note_close("unexpected_answer")
                     attempt.wire.close()  # the endpoint may have the job, and is to give it up
         except _NotWrittenError as e:
             log.debug("attempt_unwritten", extra={"id": request.id, "endpoint": self.name, "why": str(e)})
@@ -598,6 +619,7 @@
         exchange, written = attempt.exchange, attempt.phase is _Phase.WRITTEN
         answered = attempt.phase is _Phase.CONNECTING or await self._delete(attempt.request.id)
         if attempt.phase is not _Phase.ACCEPTED and exchange and not exchange.done():
+            self._note_close("given_up")
             exchange.cancel()
             await asyncio.wait([exchange])
             await asyncio.sleep(0)  # the socket closes in the turn after its transport
@@ -640,8 +662,14 @@
             alive = False
         self.report(Probed(self.destination.instance_id, alive))
 
+    def _note_close(self, why: str) -> None:
+        """Connections to this worker end from this side."""
+        self.figures.closes[f"worker.{why}"] += 1
+        log.debug("connection_closed", extra={"endpoint": self.destination.instance_id, "why": why})
+
     def _close_idle(self) -> None:
         """A new set of connections; the old one goes once what it carries is over."""
+        self._note_close("idle")
         old, self.session = self.session, self._new_session()
         carried = [a.exchange for a in self.attempts.values() if a.exchange and not a.exchange.done()]
         carried += self.calls  # a cancel that this broke would count as unanswered
--- a/robinhill/net/figures.py
+++ b/robinhill/net/figures.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from robinhill.list_lease import ListLease, ListOrigin
 from robinhill.net.messages import Answer
 
 if TYPE_CHECKING:
@@ -26,6 +27,13 @@
         self.classes = classes
         self.ended: Counter[tuple[str, str]] = Counter()
         self.tries = 0  # attempts written whole to endpoints
+        self.sends: Counter[ListOrigin] = (
+            Counter()
+        )  # attempts of which bytes were written, by the list's origin
+        self.refusals: Counter[str] = Counter()  # by reason
+        self.retries: Counter[str] = Counter()  # further attempts, by what became of the one before
+        self.closes: Counter[str] = Counter()  # connections that this process ended, by side and reason
+        self.list_lease: ListLease | None = None  # of the list in use
         self.active = 0  # requests taken and not yet ended; where the client has left, by the attempt's end
         self.pool_size = 0
         self.pool_ejected = 0
@@ -36,8 +44,8 @@
         """A request has got its final answer, whoever worded it."""
         self.ended[self.classes[job_class], _outcome(answer)] += 1
 
-    def text(self) -> str:
-        """One ``name:value|type`` a line: c for counts, g for gauges."""
+    def text(self, now_us: int = 0) -> str:
+        """One ``name:value|type`` a line: c for counts, g for gauges; ``now_us``: for the age of the list."""
         lines = [
             f"{PREFIX}.responses.{name}.{outcome}:{self.ended[name, outcome]}|c"
             for name in self.classes
@@ -47,6 +55,17 @@
         lines.append(f"{PREFIX}.active:{self.active}|g")
         lines.append(f"{PREFIX}.pool_size:{self.pool_size}|g")
         lines.append(f"{PREFIX}.pool_ejected:{self.pool_ejected}|g")
+        lines += [f"{PREFIX}.sends.{origin.value}:{self.sends[origin]}|c" for origin in ListOrigin]
+        for name, counts in (
+            ("refusals", self.refusals),
+            ("retries", self.retries),
+            ("closes", self.closes),
+        ):
+            lines += [f"{PREFIX}.{name}.{why}:{count}|c" for why, count in sorted(counts.items())]
+        if self.list_lease:
+            lines.append(f"{PREFIX}.list.version:{self.list_lease.version}|g")
+            age_us = self.list_lease.age_us(now_us)
+            lines.append(f"{PREFIX}.list.age_ms:{-1 if age_us is None else age_us // 1000}|g")
         if self.admission_queued:
             queued = self.admission_queued()
             lines.append(f"{PREFIX}.admission.queued:{queued}|g")
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -1,6 +1,7 @@
 """The inbound side: the listener for clients, for the front's /ready and for the endpoints' calls."""
 
 import asyncio
+import logging
 import os
 import socket
 from collections.abc import Awaitable, Callable
@@ -14,7 +15,15 @@
 from robinhill.net import messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
-from robinhill.net.connections import FRONT_S, SWEEP_S, Connection, Listener, connection_of, reject
+from robinhill.net.connections import (
+    FRONT_S,
+    SWEEP_S,
+    CloseReason,
+    Connection,
+    Listener,
+    connection_of,
+    reject,
+)
 from robinhill.net.decider import ClientLeft, Taken
 from robinhill.net.figures import Figures
 from robinhill.net.messages import Answer, JobEvent, JobRequest
@@ -22,6 +31,8 @@
 if TYPE_CHECKING:
     from robinhill.admission.callers import Caller
 
+log = logging.getLogger(__name__)
+
 JOB_EVENTS = "/v1/job-events"
 READY = "/ready"
 # After SIGTERM: two retries of a client that follows this advice outlast another scheduler's restart.
@@ -71,7 +82,12 @@
         self.owed = 0
         self.none_owed = asyncio.Event()
         self.none_owed.set()
-        self._listener = Listener(self._handle, config.client_sockets(), supervisor, messages.MAX_BODY)
+        self._listener = Listener(
+            self._handle, config.client_sockets(), supervisor, messages.MAX_BODY, self._note_close
+        )
+
+    def _note_close(self, why: CloseReason) -> None:
+        self.figures.closes[f"client.{why.value}"] += 1
 
     def start(self, sock: socket.socket) -> None:
         self.serving = True
@@ -135,6 +151,8 @@
         if self.closed_to_new:
             settings = self.config.settings
             refusal = messages.fail_fast(min(RETURN_US, settings.max_retry_after_us) * settings.retry_after)
+            self.figures.refusals["leaving"] += 1
+            log.debug("request_refused", extra={"id": job.id, "why": "leaving"})
             self.figures.answered(job.job_class, refusal)
             return self._respond(refusal)
         reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -57,7 +57,13 @@
         self.decider = Decider(config, self.supervisor, self.clock, self.figures)
         pace = listing.by_settings(config.settings, random.Random(config.seed))
         self.destinations = Destinations(
-            config.discovery, config.known.generation, pace, self.clock, self.supervisor, self.decider.tell
+            config.discovery,
+            config.known.generation,
+            pace,
+            self.clock,
+            self.supervisor,
+            self.decider.tell,
+            self.decider.tell,
         )
         self.admission: AdmissionActor | None = None
         if config.operator:
@@ -138,7 +144,8 @@
         if self.succession:
             await self.succession.begin()
         self.started.set()
-        log.info("started", extra={"scheduler": self.config.name, "listen": self.config.listen})
+        told = {"scheduler": self.config.name, "listen": self.config.listen}
+        log.info("started", extra=told | self.decider.list_lease.fields(self.clock.now_us()))
 
     async def _take_over(self, succession: Succession) -> None:
         """Learn what the predecessor knows, and hear discovery ourselves, before we accept."""
