Send by a list of workers only under a lease that discovery renews

Cause: a process took the list that it begins with for one that it had just been told, so the 6 s after which changes count were its own to begin. They begin with discovery, whether or not a process is there. Ruled out: lost or silent watches, late applying, versions (docs/incidents/).

list_lease.py decides, without I/O: a list of the configuration has no lease; each word of discovery renews it for 6 s; calls that show discovery away lengthen it for who was up to date by then; a move to another address ends it 4 s after the first order; a predecessor hands its own over by age. Without it the module holds jobs and then refuses them, and nothing is written. A start waits up to 2.9 s for the lease before it takes clients, also where discovery is asked, and holds requests after that.

The exchanges' player let programs send while discovery never said a word: it now answers that nothing has changed, or the exchange does; that is the assumption of the incident, built into our tests. The test on discovery's outage now begins with a discovery that was there.

--- a/robinhill/api.py
+++ b/robinhill/api.py
@@ -277,8 +277,16 @@
     alive: bool
 
 
+@dataclass(slots=True)
+class ListLeased:
+    """The lease on the list of workers is held again, or lost: nothing is sent without it."""
+
+    held: bool
+
+
 Event = (
     WorkersListed
+    | ListLeased
     | Arrived
     | JobStarted
     | JobProgress
--- a/robinhill/dispatch.py
+++ b/robinhill/dispatch.py
@@ -19,6 +19,7 @@
             api.ClientGone: self._on_client_gone,
             api.JobProgress: self._on_progress,
             api.JobStarted: self._on_progress,
+            api.ListLeased: self._on_list_leased,
             api.ProbeEnded: self._on_probe_ended,
             api.StreamStarted: self._on_progress,
             api.TimerFired: self._on_timer,
@@ -46,6 +47,9 @@
     @abstractmethod
     def _on_list(self, now: int, event: api.WorkersListed) -> None: ...
 
+    @abstractmethod
+    def _on_list_leased(self, now: int, event: api.ListLeased) -> None: ...
+
     @abstractmethod
     def _on_probe_ended(self, now: int, event: api.ProbeEnded) -> None: ...
 
--- a/robinhill/list_lease.py
+++ b/robinhill/list_lease.py
@@ -1,11 +1,21 @@
-"""The list of workers that a scheduler holds: where it came from, and as of when. No input or output.
+"""The lease on the list of workers: whether a scheduler may send by what it holds. No input or output.
 
-Times are microseconds of the caller's clock.
+Discovery renews the lease with each word that it writes: a list, changes, or an empty line. A change that is
+missed counts as told a fixed time after discovery had it and could be reached, whether or not a process was
+there to hear it. So the age of a list begins with discovery's word on it, never with the start of the process
+that holds it, and a list of unknown age has no lease at all. Without the lease nothing is sent: requests are
+held for as long as they are worth it, then refused.
+
+Times are microseconds of the caller's clock, which must count real time.
 """
 
 from dataclasses import dataclass
 from enum import Enum
 
+from robinhill.listing import TOLD_US
+
+MOVED_US = 4_000_000  # what the discovery at a new address has counts so long after the order to move
+
 
 class ListOrigin(Enum):
     """Who told the list that is in use."""
@@ -17,19 +27,58 @@
 
 @dataclass(slots=True)
 class ListLease:
-    """Origin, version and age of the list in use."""
+    """Origin, version and age of the list in use, and until when it may be sent by."""
 
+    told_us: int = TOLD_US
     origin: ListOrigin = ListOrigin.CONFIGURATION
     version: int = 0
-    confirmed_us: int | None = None  # when discovery last said so to this process; None: it has not
+    confirmed_us: int | None = None  # when discovery last said so; None: not to our knowledge
+    until_us: int = 0  # the lease's end
+    moved_us: int | None = None  # when another address was named that has not been heard of yet
+
+    def configured(self, version: int) -> None:
+        """The list is that of the configuration: it may be of any age."""
+        self.origin, self.version, self.confirmed_us, self.until_us = (
+            ListOrigin.CONFIGURATION, version, None, 0,
+        )  # fmt: skip
+
+    def handed_over(self, now_us: int, version: int, age_us: int | None, left_us: int) -> None:
+        """The list is a predecessor's, confirmed so long ago (None: never), its lease ends in ``left_us``."""
+        self.origin, self.version = ListOrigin.PREDECESSOR, version
+        self.confirmed_us = None if age_us is None else now_us - age_us
+        self.until_us = 0 if age_us is None else now_us + min(left_us, self.told_us)
+
+    def confirmed(self, heard_us: int, version: int) -> None:
+        """Discovery's word was read: a list, its changes, or that nothing has changed since ``version``."""
+        self.origin, self.version, self.confirmed_us = ListOrigin.DISCOVERY, version, heard_us
+        until_us = heard_us + self.told_us
+        if self.moved_us is not None and heard_us < self.moved_us:
+            until_us = min(until_us, self.moved_us + MOVED_US)  # a last word of the address before
+        else:
+            self.moved_us = None
+        self.until_us = max(self.until_us, until_us)
+
+    def moved(self, now_us: int) -> None:
+        """Discovery is at another address: what it has counts from the first such order on, not the last."""
+        if self.moved_us is None:
+            self.moved_us = now_us
+        self.until_us = min(self.until_us, self.moved_us + MOVED_US)
+
+    def unreachable(self, called_us: int, as_of_us: int) -> None:
+        """A call begun at ``called_us`` shows that discovery could not be reached at ``as_of_us``.
+
+        What it learns meanwhile counts from its return on. That helps only who was up to date by then.
+        """
+        if called_us < self.until_us:
+            self.until_us = max(self.until_us, as_of_us + self.told_us)
 
-    def known(self, origin: ListOrigin, version: int) -> None:
-        """A list that discovery has not confirmed to this process."""
-        self.origin, self.version, self.confirmed_us = origin, version, None
+    def held(self, now_us: int) -> bool:
+        """Whether the list may be sent by."""
+        return now_us < self.until_us
 
-    def confirmed(self, now_us: int, version: int) -> None:
-        """Discovery has told a list, its changes, or that nothing has changed since ``version``."""
-        self.origin, self.version, self.confirmed_us = ListOrigin.DISCOVERY, version, now_us
+    def left_us(self, now_us: int) -> int:
+        """How long it may still be sent by if no word comes."""
+        return max(0, self.until_us - now_us)
 
     def age_us(self, now_us: int) -> int | None:
         """How long ago discovery confirmed the list; None if nothing tells."""
--- a/robinhill/listing.py
+++ b/robinhill/listing.py
@@ -15,14 +15,17 @@
 
 from robinhill import api
 
+TOLD_US = 6_000_000  # a change counts as told so long after discovery had it and could be reached
 WORD_US = 2_500_000  # an empty line comes every 2 s; half a second for a late one
 CALL_US = 3_500_000  # discovery itself fails calls that wait too long, after 2 or 3 s: this one is lost
-TOLD_US = 6_000_000  # a change counts as told so long after discovery had it and could be reached
 WAITED_US = 1_500_000  # a call that fails sooner did not wait in discovery's queue
 EACH_US = 50_000  # the spread of calls for each scheduler that may be calling too; it doubles
 AGAIN_US = 250_000  # the spread where the first half is over
 AGENT_US = 100_000  # the same for an agent that pushes: within the half second that drains may leave
 AGENT_MOST_US = 200_000
+# A call that nothing answers shows, as it is given up, that discovery was away so long before: one that has
+# too many callers would have failed it. With this the lease lasts until the next call is given up too.
+UNANSWERED_US = TOLD_US - CALL_US - AGAIN_US
 
 
 @dataclass(slots=True)
@@ -37,6 +40,7 @@
     heard_us: int = 0  # the last whole word: a list, or an empty line
     called_us: int = 0
     tries: int = 0  # calls in a row that were lost
+    away_us: int | None = None  # as of when the last call has shown that discovery can't be reached
 
     def started(self, now_us: int) -> int:
         """How long to wait before the first call: the list that a process starts with may be old."""
@@ -59,8 +63,12 @@
         """When the open call or watch is broken unless a word comes before."""
         return self.heard_us + WORD_US if self.heard_us else self.called_us + CALL_US
 
-    def lost(self, now_us: int) -> int:
-        """How long to wait before the next call, now that a call has failed or a watch has ended."""
+    def lost(self, now_us: int, answered: bool = True) -> int:
+        """How long to wait before the next call, now that a call has failed or a watch has ended.
+
+        ``answered``: bytes of an answer had come.
+        """
+        self.away_us = self._away_as_of(now_us, answered)
         if self.heard_us:
             # It may have fallen silent right after its last word or any time since, even if it was reset now.
             self.due_us = self.heard_us + self.told_us
@@ -74,6 +82,17 @@
             return int(wait * (0.5 + self.random.random() / 2))
         return self._spread(now_us)
 
+    def _away_as_of(self, now_us: int, answered: bool) -> int | None:
+        """The last moment at which discovery surely could not be reached; None: it may have been there."""
+        if self.heard_us:
+            return None
+        took_us = now_us - self.called_us
+        if took_us >= CALL_US and (self.pushed or not answered):
+            return now_us - UNANSWERED_US
+        # An agent that can't be called has learned nothing; one quick failure elsewhere may be the network's.
+        down = took_us < WAITED_US and (self.pushed or self.tries > 1)
+        return self.called_us if down else None
+
     def _spread(self, now_us: int) -> int:
         """A random wait; before a first call it may be none at all, later calls are kept apart."""
         most = max(AGAIN_US, self.due_us - self.told_us // 2 - now_us)
--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -52,6 +52,7 @@
         self.shed = 0.0  # share of requests refused at once
         self.retry_budget = 1.0
         self.subscribed, self.list_failures = False, 0
+        self.list_leased = True  # without the lease on the list jobs are held
 
     def start(self, now: int) -> list[api.Action]:
         """To be called once, before any event."""
@@ -81,6 +82,10 @@
         self.estimates.count_ready(self.workers.values())
         self._place_held(now)
 
+    def _on_list_leased(self, now: int, event: api.ListLeased) -> None:
+        self.list_leased = event.held
+        self._place_held(now)
+
     def _retry_list(self) -> None:
         """Ask again with back-off, well inside the time after which silence counts as being told."""
         spread = self.derived.list_spread_us << min(self.list_failures, 6)
@@ -173,7 +178,7 @@
             self._give_up(job, api.RefusalReason.ATTEMPTS_SPENT)
         elif now >= job.hold_until_us:
             self._give_up(job, api.RefusalReason.NO_WORKER)
-        elif (worker := self._pick_worker(now, job)) is not None:
+        elif self.list_leased and (worker := self._pick_worker(now, job)) is not None:
             self._send(now, job, worker)
         else:
             self.held.add(job)
@@ -203,7 +208,8 @@
         """Give held jobs their worker, the most worth first, or their answer in time."""
         held = self.held.take()
         self.no_room.clear()
-        room = held and any(self._takes_jobs(now, worker) for worker in self.workers.values())
+        usable = self.workers.values() if self.list_leased else ()
+        room = held and any(self._takes_jobs(now, worker) for worker in usable)
         for job in held:
             if now < job.hold_until_us and (not room or job.request.job_class in self.no_room):
                 self.held.jobs.append(job)  # a long queue must not cost a choice for each job at each event
@@ -454,6 +460,8 @@
 
     def _judge(self, now: int, attempt: Attempt, outcome: api.Outcome, took_us: int) -> None:
         """What an outcome tells of the worker."""
+        if not self.list_leased and outcome is api.Outcome.CONNECT_FAILED:
+            return  # it was not written for want of the lease
         worker, late = attempt.worker, outcome is api.Outcome.TIMEOUT or attempt.withdrawn
         if outcome in api.ANSWERED:
             worker.heard_us = now
@@ -596,7 +604,7 @@
             if self.sparse and klass.repeat is api.Repeat.SAFE:
                 return inf  # a second choice knows no more, and what is withdrawn may run on
             in_time = attempt.key[1] == 0 and now < job.hold_until_us and self.retry_budget >= 1
-            if in_time and self._can_move(now, attempt):
+            if in_time and self.list_leased and self._can_move(now, attempt):
                 return now  # own jobs can't tell where those of others are; a start that does not come does
             if not klass.late_worth:  # a jam must not be spent on late answers
                 due = job.aim_us + (klass.stretch - 1) * self.job_times.class_us[job.request.job_class] / 4
--- a/robinhill/model/wire.py
+++ b/robinhill/model/wire.py
@@ -111,6 +111,8 @@
                 for w in workers
             ]
             return [["Pool", 0, rows], ["Targets", int(kind), 1, 0]]
+        case api.ListLeased():
+            return []  # the simulator's wire tells no lease: its lists are never unconfirmed
         case api.Arrived(request=r):
             attrs = 1 * bool(r.work_hint_us) + 2 * r.client_repeat
             return [
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -8,7 +8,7 @@
 
 from robinhill import api, keys, memory
 from robinhill.config import Config
-from robinhill.list_lease import ListLease, ListOrigin
+from robinhill.list_lease import ListLease
 from robinhill.logic import Balancer
 from robinhill.net import endpoint as ep
 from robinhill.net import messages
@@ -91,6 +91,21 @@
     heard_us: int
 
 
+@dataclass(slots=True, frozen=True)
+class DiscoveryAway:
+    """A call begun at ``called_us`` has shown that discovery could not be reached at ``as_of_us``."""
+
+    called_us: int
+    as_of_us: int
+
+
+@dataclass(slots=True, frozen=True)
+class DiscoveryMoved:
+    """Discovery is watched at another address since ``at_us``."""
+
+    at_us: int
+
+
 @dataclass(slots=True, frozen=True, eq=False)
 class Due:
     """A timer of the module's."""
@@ -141,8 +156,8 @@
 
 
 ToDecider = (
-    Taken | ClientLeft | Listed | ListConfirmed | HoldOut | Cordoned | Lease | Release | Adopt | Due
-    | JobEvent | ep.Started | ep.Ended | ep.Probed | ep.Retired | ep.Gone
+    Taken | ClientLeft | Listed | ListConfirmed | DiscoveryAway | DiscoveryMoved | HoldOut | Cordoned | Lease
+    | Release | Adopt | Due | JobEvent | ep.Started | ep.Ended | ep.Probed | ep.Retired | ep.Gone
 )  # fmt: skip
 
 
@@ -181,8 +196,9 @@
         list_lease: ListLease | None = None,
     ) -> None:
         super().__init__("decider", supervisor)
-        self.list_lease = list_lease or ListLease()
-        figures.list_lease = self.list_lease
+        self.list_lease = list_lease  # on the list of workers; None: whatever list there is may be sent by
+        figures.list_lease = list_lease
+        self.lease_held = asyncio.Event()  # as the module was told last
         self.config = config
         self.clock = clock
         self.figures = figures
@@ -199,7 +215,6 @@
         self.elsewhere: Callable[[JobEvent], None] = lambda event: None  # brings such an event there
         self.admission: Callable[[Placed | Began], None] | None = None  # hears what becomes of requests
         self.tape: Tape | None = None  # records what passes
-        self.listed_once = asyncio.Event()  # discovery has answered, or failed to
         self.destinations: dict[str, Destination] = {}
         self.endpoints: dict[str, ep.Endpoint] = {}
         self.state = State(config.folder)
@@ -217,15 +232,20 @@
 
     def start(self, known: DestinationList | None = None) -> None:
         """Begin with a predecessor's list, or with that of the configuration."""
-        origin = ListOrigin.PREDECESSOR if known else ListOrigin.CONFIGURATION
-        self.list_lease.known(origin, (known or self.config.known).generation)
-        self._perform(self.balancer.start(self.clock.now_us()))
+        now = self.clock.now_us()
+        self._perform(self.balancer.start(now))
+        if self.list_lease is None or self.list_lease.held(now):
+            self.lease_held.set()
+        else:
+            self._decide(api.ListLeased(False))
         self._listed(Listed(known or self.config.known, cached=True))
         super().start()
 
     def receive(self, message: ToDecider) -> None:
         if self.lease and self.lease() is not self.vouched:
             self._vouch(not self.vouched)
+        if self.list_lease:
+            self._check_lease()
         match message:
             case Taken():
                 self._taken(message)
@@ -248,8 +268,8 @@
                 self._client_left(request)
             case Listed():
                 self._listed(message)
-            case ListConfirmed(version=version, heard_us=heard_us):
-                self.list_lease.confirmed(heard_us, version)
+            case ListConfirmed() | DiscoveryAway() | DiscoveryMoved():
+                self._update_lease(message)
             case HoldOut(instance_id=instance_id, out=out, reply=reply, known=known):
                 answer = self._hold_out(instance_id, out, known)
                 if not reply.done():
@@ -267,6 +287,36 @@
             case ep.Retired(instance_id=instance_id):
                 self._retired(instance_id)
 
+    def _update_lease(self, message: ListConfirmed | DiscoveryAway | DiscoveryMoved) -> None:
+        if self.list_lease is None:
+            return
+        match message:
+            case ListConfirmed(version=version, heard_us=heard_us):
+                self.list_lease.confirmed(heard_us, version)
+            case DiscoveryAway(called_us=called_us, as_of_us=as_of_us):
+                self.list_lease.unreachable(called_us, as_of_us)
+            case DiscoveryMoved(at_us=at_us):
+                self.list_lease.moved(at_us)
+        self._check_lease()
+
+    def _check_lease(self) -> None:
+        """Tell the module when the lease on the list is lost or held again."""
+        if self.list_lease is None or (held := self.list_lease.held(self.clock.now_us())) is (
+            self.lease_held.is_set()
+        ):
+            return
+        told = self.list_lease.fields(self.clock.now_us())
+        if held:
+            self.lease_held.set()
+            log.info("list_lease_held", extra=told)
+        else:
+            self.lease_held.clear()
+            log.warning("list_lease_lost", extra=told)
+        self._decide(api.ListLeased(held))
+
+    def _list_fields(self) -> dict[str, object]:
+        return self.list_lease.fields(self.clock.now_us()) if self.list_lease else {}
+
     def _decide(self, event: api.Event) -> None:
         self._perform(self.balancer.handle(self.clock.now_us(), event))
 
@@ -332,7 +382,7 @@
         if log.isEnabledFor(logging.DEBUG):
             held = self.held[job]
             told = {"id": held.request.id, "why": why.value, "attempts": ", ".join(held.endings)}
-            log.debug("request_refused", extra=told | self.list_lease.fields(self.clock.now_us()))
+            log.debug("request_refused", extra=told | self._list_fields())
         self._answer(job, messages.fail_fast(retry_in_us))
 
     def _send(self, action: api.Send) -> None:
@@ -572,10 +622,6 @@
     # The destination set
 
     def _listed(self, listed: Listed) -> None:
-        if not listed.cached:
-            self.listed_once.set()
-            if listed.list:
-                self.list_lease.confirmed(listed.heard_us, listed.list.generation)
         if listed.list is None:
             self._decide(api.WorkersListed(api.ListKind.FAILED))
             return
@@ -589,6 +635,9 @@
         for destination in told.destinations:
             self._update(destination)
         self._decide(api.WorkersListed(kind, [self._worker(d) for d in told.destinations]))
+        if self.list_lease and not listed.cached:
+            self.list_lease.confirmed(listed.heard_us, told.generation)
+            self._check_lease()  # only now: what is held must not go out by the list of before
         if self.list_changed:
             self.list_changed()
 
--- a/robinhill/net/destinations.py
+++ b/robinhill/net/destinations.py
@@ -13,7 +13,7 @@
 from robinhill.net import messages
 from robinhill.net.actor import Actor, Supervisor
 from robinhill.net.clock import Clock
-from robinhill.net.decider import ListConfirmed, Listed
+from robinhill.net.decider import DiscoveryAway, DiscoveryMoved, ListConfirmed, Listed
 
 log = logging.getLogger(__name__)
 
@@ -48,7 +48,7 @@
         clock: Clock,
         supervisor: Supervisor,
         report: Callable[[Listed], None],
-        confirm: Callable[[ListConfirmed], None] = lambda confirmed: None,
+        note: Callable[[ListConfirmed | DiscoveryAway | DiscoveryMoved], None] = lambda word: None,
     ) -> None:
         super().__init__("destinations", supervisor)
         self.discovery = discovery
@@ -56,7 +56,8 @@
         self.pace = pace
         self.clock = clock
         self.report = report
-        self.confirm = confirm  # hears of each word that tells no change
+        self.note = note  # hears of all else that the lease on the list goes by
+        self.answered = False  # bytes of the open call's answer have come
         self.watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -76,6 +77,7 @@
             self.watch.cancel()
         self.discovery, self.generation = message.discovery, None
         self.pace.moved(self.clock.now_us())
+        self.note(DiscoveryMoved(self.clock.now_us()))
         self._open(0)
 
     def _open(self, wait_us: int) -> None:
@@ -85,6 +87,7 @@
         while True:
             await asyncio.sleep(wait_us / 1e6)
             self.pace.called(self.clock.now_us())
+            self.answered = False
             silent, why = False, "ended"
             try:
                 await self._read()
@@ -92,7 +95,9 @@
                 silent, why = True, "silent"
             except Exception as e:  # whatever discovery sends costs this exchange alone
                 why = f"{type(e).__name__}: {e}"
-            wait_us = self.pace.lost(self.clock.now_us())
+            wait_us = self.pace.lost(self.clock.now_us(), self.answered)
+            if self.pace.away_us is not None:
+                self.note(DiscoveryAway(self.pace.called_us, self.pace.away_us))
             log.warning("watch_lost", extra={"generation": self.generation, "why": why, "again_us": wait_us})
             if not (silent or self.pace.pushed):
                 self.report(Listed(None))
@@ -107,6 +112,7 @@
             session._retry_connection = False
             url = f"http://{self.discovery}/v1/endpoints"
             async with await self._in_time(session.get(url, params=query, allow_redirects=False)) as response:
+                self.answered = True
                 if response.status != 200:
                     raise messages.MalformedError(f"status {response.status}")
                 await self._listen(response.content)
@@ -119,7 +125,7 @@
                 if told:
                     self._told(told)
                 else:
-                    self.confirm(ListConfirmed(self.generation or 0, self.pace.heard_us))
+                    self.note(ListConfirmed(self.generation or 0, self.pace.heard_us))
                 if first and not told:
                     # Nothing has changed: the module hears that its call has been answered.
                     unchanged = messages.DestinationList(self.generation or 0, False, ())
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -369,6 +369,8 @@
             raise _NotWrittenError(Outcome.TIMEOUT)
         if attempt.over or attempt.withdrawn:
             raise _NotWrittenError(Outcome.CANCELLED)
+        if self.list_lease and not self.list_lease.held(now):
+            raise _NotWrittenError(Outcome.CONNECT_FAILED)  # the module takes it for no news of the worker
         # A repeat that comes behind its window would be a second effect.
         if not self.open or now >= attempt.write_until_us:
             raise _NotWrittenError(Outcome.CONNECT_FAILED)
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -13,6 +13,7 @@
 from robinhill import config as configuration
 from robinhill import listing
 from robinhill.config import Config, OperatorFile
+from robinhill.list_lease import ListLease
 from robinhill.net import logs, messages
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
@@ -38,7 +39,7 @@
 Json = dict[str, Any]
 TAKE_ON_S = 0.7  # after SIGTERM: what still arrives in this time is taken
 HAND_OVER_S = 0.05  # how often what is owed is looked at while a successor takes it
-LIST_S = 1.5  # for discovery's first answer, where clients wait for it; older lists count meanwhile
+LIST_S = 2.9  # for discovery's first answer, before clients are taken; later they are held until it comes
 START_S = 0.9  # an operator's call to a process that still starts is answered no after it
 STARTING = Answer(503, b"still starting\n")
 HANDED_ADMISSION = "door"  # the key between processes of all versions, which may take over from one another
@@ -54,8 +55,9 @@
         self.clock = Clock(config.clock_offset_us)
         self.supervisor = Supervisor()
         self.figures = Figures(config.classes)
-        self.decider = Decider(config, self.supervisor, self.clock, self.figures)
         pace = listing.by_settings(config.settings, random.Random(config.seed))
+        self.list_lease = ListLease(pace.told_us, version=config.known.generation)
+        self.decider = Decider(config, self.supervisor, self.clock, self.figures, self.list_lease)
         self.destinations = Destinations(
             config.discovery,
             config.known.generation,
@@ -133,9 +135,7 @@
         else:
             self.decider.start()
             self.destinations.start()
-            if not self.config.settings.must_subscribe:
-                # What the agent has counts as told from our first moment; the known list may be old.
-                await self._listed_once()
+            await self._list_leased()
         if self.sharing:
             self.sharing.start()
         if self.admission:
@@ -145,7 +145,7 @@
             await self.succession.begin()
         self.started.set()
         told = {"scheduler": self.config.name, "listen": self.config.listen}
-        log.info("started", extra=told | self.decider.list_lease.fields(self.clock.now_us()))
+        log.info("started", extra=told | self.list_lease.fields(self.clock.now_us()))
 
     async def _take_over(self, succession: Succession) -> None:
         """Learn what the predecessor knows, and hear discovery ourselves, before we accept."""
@@ -154,22 +154,25 @@
         if told and told["discovery"] == str(self.config.discovery):
             known = messages.read_destinations(told["known"])
             self.destinations.generation = known.generation
+            age = told.get("list_age_us")  # an older version does not tell: then it may be of any age
+            now_us, left_us = self.clock.now_us(), told.get("list_left_us", 0)
+            self.list_lease.handed_over(now_us, known.generation, age, left_us)
             self.decider.start(known)
         else:
             self.decider.start()
         self.destinations.start()
-        await self._listed_once()
+        await self._list_leased()
         if told and (memory := await succession.ask("memory")):
             self.decider.recall(memory["decider"])
             if self.admission and memory.get(HANDED_ADMISSION):
                 self.admission.recall(memory[HANDED_ADMISSION])
             self.inbound.drain(memory["drained"])
 
-    async def _listed_once(self) -> None:
-        """Wait for discovery's first word, but no longer than a client's patience with a restart."""
+    async def _list_leased(self) -> None:
+        """Wait until there is a list to send by, but no longer than a client's patience with a restart."""
         try:
             async with asyncio.timeout(LIST_S):
-                await self.decider.listed_once.wait()
+                await self.decider.lease_held.wait()
         except TimeoutError:
             log.warning("list_awaited", extra={"seconds": LIST_S})
 
@@ -346,8 +349,10 @@
         """What a successor needs to watch discovery by itself; it takes a part of what we may use."""
         self.inbound.share(self.config.client_sockets(2))
         known = [messages.write_destination(d) for d in self.decider.listed()]
-        generation = self.destinations.generation or 0
+        generation, now_us = self.destinations.generation or 0, self.clock.now_us()
         return {
+            "list_age_us": self.list_lease.age_us(now_us),
+            "list_left_us": self.list_lease.left_us(now_us),
             "discovery": str(self.config.discovery),
             "known": {"generation": generation, "reset": True, "instances": known},
         }
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -547,6 +547,8 @@
         player.at = player.ports["s"].getsockname()
         player.run()
         at = player.ports["d"].getsockname()
+        assert player.quiet
+        player.quiet.stop()
         player.ports["d"].close()
         player.log("watch_lost", "")
         player.crowd("100", "")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -32,6 +32,10 @@
     answers C COUNT STATUS  what each of them gets
     until LINE              the newest process's figures come to hold this line
 
+A program sends nothing before discovery has confirmed its list. Where no step plays discovery, the player
+answers each watch with an empty line, "nothing has changed", and repeats it; a step that does may send one as
+``send d.1`` with nothing below it.
+
 ``{w1}`` stands for an endpoint's address. Waiting is always for bytes, a log line or an end.
 """
 
@@ -40,6 +44,7 @@
 import queue
 import re
 import resource
+import select
 import signal
 import socket
 import subprocess
@@ -62,6 +67,8 @@
 )
 STEP = re.compile(rf"^({WORDS})\b ?(.*)$")
 PATIENCE_S = 10
+UNCHANGED = b"1\r\n\n\r\n"  # an empty line of a watch, as a chunk
+UNCHANGED_EVERY_S = 2.0
 SETTINGS: dict[str, Any] = {
     "areas": ["brisbane", "townsville"],
     "shapes": ["std-8", "slow-8"],
@@ -84,8 +91,44 @@
 }  # fmt: skip
 
 
+class QuietDiscovery:
+    """Answers each watch with the word that nothing has changed, again and again; on a thread of its own."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.watches: list[socket.socket] = []
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(target=self._serve, daemon=True)
+        self.thread.start()
+
+    def _serve(self) -> None:
+        said = time.monotonic()
+        while not self.stopping.is_set():
+            with contextlib.suppress(OSError):
+                if select.select([self.sock], [], [], 0.02)[0]:
+                    watch = self.sock.accept()[0]
+                    watch.makefile("rb").readline()
+                    watch.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + UNCHANGED)
+                    self.watches.append(watch)
+            if time.monotonic() - said >= UNCHANGED_EVERY_S:
+                said = time.monotonic()
+                for watch in self.watches:
+                    with contextlib.suppress(OSError):  # the program has left it
+                        watch.sendall(UNCHANGED)
+
+    def stop(self) -> None:
+        """Discovery goes down: its watches end, and nobody answers any more."""
+        self.stopping.set()
+        self.thread.join()
+        for watch in self.watches:
+            watch.close()
+
+
 def listener() -> socket.socket:
     sock = socket.socket()
+    sock.setsockopt(
+        socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
+    )  # discovery comes back on a port with old watches
     sock.bind(("127.0.0.1", 0))
     sock.settimeout(PATIENCE_S)
     return sock
@@ -131,6 +174,9 @@
         self.programs: list[subprocess.Popen[str]] = []
         self.passed: tuple[int, ...] = ()
         self.dripping = False
+        self.quiet: QuietDiscovery | None = None  # where no step plays discovery
+        self.plays_discovery = False
+        self.begun = threading.Event()  # the newest process takes clients
         self.ops: list[tuple[str, int]] = []
         self.given: dict[str, int] = {}
         self.logged: queue.Queue[str] = queue.Queue()
@@ -188,6 +234,8 @@
             "limits": self.given,
         }  # fmt: skip
         self.config = config
+        if not self.plays_discovery:
+            self.quiet = QuietDiscovery(self.ports["d"])
         if not self.passed:
             self.ports["s"].close()
         path = self.folder / "config.json"
@@ -208,11 +256,13 @@
             pass_fds=self.passed,
         )  # fmt: skip
         self.programs.append(program)
+        self.begun.clear()
         self.ports[ops] = listener()  # for a later one
         if sockets := self.given.get("sockets"):
             resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
         threading.Thread(target=self._read_log, args=(program,), daemon=True).start()
-        self.log("started", "")
+        if not self.plays_discovery:
+            self.log("started", "")
 
     def replace(self, _: str, block: str) -> None:
         self.start("p")
@@ -225,6 +275,8 @@
     def _read_log(self, program: subprocess.Popen[str]) -> None:
         assert program.stderr
         for line in program.stderr:
+            if "event=started" in line:
+                self.begun.set()
             self.logged.put(line)
 
     def peer(self, name: str) -> Connection:
@@ -374,6 +426,7 @@
 
     def play(self, text: str) -> None:
         self.at = self.ports["s"].getsockname()
+        self.plays_discovery = "d.1" in text
         steps: list[tuple[str, str, list[str]]] = []
         for line in text.splitlines():
             if found := STEP.match(line):
@@ -383,9 +436,13 @@
         for word, argument, block in steps:
             if not self.programs and word not in ("workers", "set", "limits", "inherit", "operator"):
                 self.run()
+            if self.programs and word != "log" and not argument.startswith(("d.", "e.")):
+                assert self.begun.wait(PATIENCE_S), "it does not take clients"
             getattr(self, word)(argument, "\n".join(block).strip("\n"))
 
     def stop(self) -> None:
+        if self.quiet:
+            self.quiet.stop()
         for peer in self.peers.values():
             peer.file.close()
             peer.sock.close()
