Read what lies unread after a stall before anything is decided or sent

Now a late beat makes the decider take discovery's words first, writes wait for them, silence is no verdict on a watch that this process itself did not read, and a request that came during the stall counts from its begin.

A hand-over passes on the clock's anchor, so that deadlines mean the same after a step of the wall clock. The time that an attempt tells its worker is taken at the write, not before the connect. A worker's start ahead of our clock counts as now.

--- a/robinhill/logic.py
+++ b/robinhill/logic.py
@@ -104,9 +104,11 @@
             worker = WorkerRecord(entry, self.random.random(), zone, UNKNOWN_JOB_US)
             self.workers[entry.address] = worker
         worker.entry = entry
-        worker.cold_until_us = entry.started_us + self.settings.cold_us if entry.started_us else 0
         turn = max(listed, len(self.workers))
         if not known:
+            # A start ahead of our clock is the clock's error, not a reason to pace a worker for ever.
+            started = min(entry.started_us, now)
+            worker.cold_until_us = started + self.settings.cold_us if started else 0
             self._begin_rotation(now, worker, turn)
         if entry.state is not api.WorkerState.READY:
             self._shut(worker)
--- a/robinhill/net/actor.py
+++ b/robinhill/net/actor.py
@@ -98,11 +98,18 @@
     def _empty(self) -> None:
         self._scheduled = False
         try:
+            if not self.ready():
+                self._schedule()
+                return
             while self._mailbox and self._alive:
                 self.receive(self._mailbox.popleft())
         except Exception as error:  # whatever it is, the program must not go on without this actor
             self._alive = False
             self.supervisor.fail(self.name, error)
 
+    def ready(self) -> bool:
+        """Whether messages may be handled now; else the mailbox is looked at again in the next turn."""
+        return True
+
     def receive(self, message: Message) -> None:
         raise NotImplementedError
--- /dev/null
+++ b/robinhill/net/catch_up.py
@@ -0,0 +1,76 @@
+"""After a stall: what lies unread from discovery is read before anything is decided or sent."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from robinhill.net.clock import Clock
+from robinhill.stalls import BEAT_US, StallDetector
+
+log = logging.getLogger(__name__)
+
+# Turns of the event loop: from bytes in the kernel to a message in the decider's mailbox, also on a
+# connection that was not accepted yet; and from there to the endpoints.
+READ_TURNS = 10
+WRITE_TURNS = 4
+MOST_TURNS = 10_000  # a peer that never stops writing must not hold this process up for ever
+
+
+class CatchUp:
+    """Notices that this process stood still, and says when it has read what was written meanwhile."""
+
+    def __init__(self, clock: Clock, unread: Callable[[], bool]) -> None:
+        """``unread`` tells whether words of discovery wait in the kernel."""
+        self.clock = clock
+        self.unread = unread
+        self.stalls = StallDetector(clock.now_us())
+        self.turns = 0  # of the loop since the stall; 0: there was none, or all is read
+        self.quiet_turns = 0  # of these, the last ones in which nothing was unread
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Begin to beat."""
+        self.stalls.beat(self.clock.now_us())
+        self._schedule()
+
+    def close(self) -> None:
+        """Beat no more."""
+        if self._timer:
+            self._timer.cancel()
+
+    def reading(self) -> bool:
+        """Whether words of others may be unread that were written while this process stood still."""
+        return self._behind() and self.quiet_turns < READ_TURNS
+
+    def behind(self) -> bool:
+        """Whether that is so, or not everything here goes by them yet."""
+        return self._behind()
+
+    def arrival_us(self) -> int:
+        """The latest moment at which what is read now surely was not there yet, or now if all is read."""
+        return self.stalls.last_us if self._behind() else self.clock.now_us()
+
+    def _behind(self) -> bool:
+        if not self.turns and self._timer and self.stalls.stalled(now := self.clock.now_us()):
+            log.info("stood_still", extra={"for_ms": (now - self.stalls.last_us) // 1000})
+            self.turns = 1
+            self.quiet_turns = 0
+            asyncio.get_running_loop().call_soon(self._turn)
+        return self.turns > 0
+
+    def _turn(self) -> None:
+        self.turns += 1
+        self.quiet_turns = 0 if self.unread() else self.quiet_turns + 1
+        if self.quiet_turns < READ_TURNS + WRITE_TURNS and self.turns < MOST_TURNS:
+            asyncio.get_running_loop().call_soon(self._turn)
+            return
+        self.turns = 0
+        self.stalls.beat(self.clock.now_us())
+
+    def _beat(self) -> None:
+        if not self._behind():
+            self.stalls.beat(self.clock.now_us())
+        self._schedule()
+
+    def _schedule(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(BEAT_US / 1e6, self._beat)
--- a/robinhill/net/clock.py
+++ b/robinhill/net/clock.py
@@ -14,5 +14,17 @@
     def __init__(self, offset_us: int = 0) -> None:
         self._anchor = time.time_ns() - time.monotonic_ns() + offset_us * 1000
 
+    @property
+    def anchor_ns(self) -> int:
+        """What is added to the monotonic clock."""
+        return self._anchor
+
+    def follow(self, anchor_ns: int) -> None:
+        """Go by another process's anchor on this machine.
+
+        Moments that it hands over are on its scale; the host's clock may have been stepped since its start.
+        """
+        self._anchor = anchor_ns
+
     def now_us(self) -> int:
         return (self._anchor + time.monotonic_ns()) // 1000
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -13,6 +13,7 @@
 from robinhill.net import endpoint as ep
 from robinhill.net import messages
 from robinhill.net.actor import Actor, Supervisor
+from robinhill.net.catch_up import CatchUp
 from robinhill.net.clock import Clock
 from robinhill.net.figures import Figures
 from robinhill.net.messages import (
@@ -161,6 +162,9 @@
 )  # fmt: skip
 
 
+_WORDS = (Listed, ListConfirmed, DiscoveryAway, DiscoveryMoved)  # of discovery
+
+
 @dataclass(slots=True, eq=False)
 class _Held:
     """A request with an answer owed or an attempt out."""
@@ -222,6 +226,8 @@
         # Since when, and until when, operators had an endpoint out; the file tells no times.
         self.outages = {instance_id: (clock.now_us(), 0) for instance_id in self.held_out}
         self.cordons: Cordoned | None = None  # as told last
+        self.catch_up: CatchUp | None = None  # after a stall; None: stalls are not looked for
+        self._reading = False  # what was unread after a stall
         self.lease: Callable[[], bool] | None = None  # whether anything may be sent; None: always
         self.vouched = True  # as the module was told
         self.may_send: Callable[[Destination], bool] | None = None  # asked right before each write
@@ -241,6 +247,19 @@
         self._listed(Listed(known or self.config.known, cached=True))
         super().start()
 
+    def ready(self) -> bool:
+        """After a stall discovery's words go first, whatever came before them."""
+        if self.catch_up and self.catch_up.reading():
+            self._reading = True
+            return False
+        if self._reading:
+            self._reading = False
+            words = [m for m in self._mailbox if isinstance(m, _WORDS)]
+            others = [m for m in self._mailbox if not isinstance(m, _WORDS)]
+            self._mailbox.clear()
+            self._mailbox.extend([*words, *others])
+        return True
+
     def receive(self, message: ToDecider) -> None:
         if self.lease and self.lease() is not self.vouched:
             self._vouch(not self.vouched)
@@ -666,6 +685,7 @@
             self.tell,
             self.may_send,
             self.list_lease,
+            self.catch_up,
         )
         self.endpoints[told.instance_id] = endpoint
         endpoint.start()
--- a/robinhill/net/destinations.py
+++ b/robinhill/net/destinations.py
@@ -12,7 +12,9 @@
 from robinhill.listing import Pace
 from robinhill.net import messages
 from robinhill.net.actor import Actor, Supervisor
+from robinhill.net.catch_up import CatchUp
 from robinhill.net.clock import Clock
+from robinhill.net.connections import unread
 from robinhill.net.decider import DiscoveryAway, DiscoveryMoved, ListConfirmed, Listed
 
 log = logging.getLogger(__name__)
@@ -58,6 +60,8 @@
         self.report = report
         self.note = note  # hears of all else that the lease on the list goes by
         self.answered = False  # bytes of the open call's answer have come
+        self.catch_up: CatchUp | None = None  # after a stall; None: stalls are not looked for
+        self._transport: asyncio.BaseTransport | None = None  # of the open call's connection
         self.watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -87,7 +91,7 @@
         while True:
             await asyncio.sleep(wait_us / 1e6)
             self.pace.called(self.clock.now_us())
-            self.answered = False
+            self.answered, self._transport = False, None
             silent, why = False, "ended"
             try:
                 await self._read()
@@ -113,10 +117,17 @@
             url = f"http://{self.discovery}/v1/endpoints"
             async with await self._in_time(session.get(url, params=query, allow_redirects=False)) as response:
                 self.answered = True
+                self._transport = response.connection.transport if response.connection else None
                 if response.status != 200:
                     raise messages.MalformedError(f"status {response.status}")
                 await self._listen(response.content)
 
+    def unread(self) -> bool:
+        """Whether words of discovery wait in the kernel."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return unread(self._transport) > 0
+
     async def _listen(self, content: aiohttp.StreamReader) -> None:
         reader, first = messages.WatchReader(LONGEST_LIST), True
         while data := await self._in_time(content.readany()):
@@ -134,14 +145,20 @@
 
     async def _in_time(self, work: Awaitable[Answered]) -> Answered:
         """Wait no longer than until the call or watch counts as silent."""
-        left_us = self.pace.silent_at() - self.clock.now_us()
+        waiting = asyncio.ensure_future(work)
         try:
-            async with asyncio.timeout(max(0, left_us) / 1e6) as limit:
-                return await work
-        except TimeoutError:
-            if limit.expired():
-                raise _SilentError from None
-            raise  # a connect that did not come up
+            while not waiting.done():
+                left_us = self.pace.silent_at() - self.clock.now_us()
+                await asyncio.wait([waiting], timeout=max(0, left_us) / 1e6)
+                # Where this process itself stood still, a word may be here that was not read in time.
+                stood_still = self.catch_up is not None and self.catch_up.behind()
+                if not waiting.done() and left_us <= 0 and not stood_still:
+                    raise _SilentError
+            return waiting.result()
+        finally:
+            if not waiting.done():
+                waiting.cancel()
+                await asyncio.wait([waiting])
 
     def _told(self, told: messages.DestinationList) -> None:
         self.generation = told.generation
--- a/robinhill/net/endpoint.py
+++ b/robinhill/net/endpoint.py
@@ -19,6 +19,7 @@
 from robinhill.list_lease import ListLease
 from robinhill.net import messages
 from robinhill.net.actor import Actor, Supervisor
+from robinhill.net.catch_up import CatchUp
 from robinhill.net.clock import Clock
 from robinhill.net.connections import unread
 from robinhill.net.figures import Figures
@@ -297,11 +298,14 @@
         assert isinstance(wire, _Wire)
         if current := _current.get():
             endpoint, attempt = current
+            await endpoint.caught_up()
             endpoint.check(attempt)
             if not wire.fit:  # a new one may have ended or spoken by now
                 raise _NotWrittenError(Outcome.CONNECT_FAILED)
             attempt.wire = wire
             attempt.phase = _Phase.WRITTEN
+            # The connect has taken a part of what the client had left.
+            self.headers[messages.TIMEOUT] = endpoint.time_left(attempt)
             endpoint.note_send(attempt)
         wire.ask()
         conn.add_callback(wire.rest)
@@ -337,12 +341,14 @@
         report: Callable[[FromEndpoint], None],
         may_send: Callable[[Destination], bool] | None = None,
         list_lease: ListLease | None = None,
+        catch_up: CatchUp | None = None,
     ) -> None:
         super().__init__(f"endpoint {destination.instance_id}", supervisor)
         self.destination = destination
         self.clock = clock
         self.figures = figures
         self.report = report
+        self.catch_up = catch_up  # after a stall; None: stalls are not looked for
         self.list_lease = list_lease  # of the list by which attempts are sent; None: nothing tells
         self.may_send = may_send  # whether cordons and lease allow it at this moment; None: there are none
         self.connect_timeout_s = connect_timeout_us / 1e6
@@ -375,6 +381,15 @@
         if not self.open or now >= attempt.write_until_us:
             raise _NotWrittenError(Outcome.CONNECT_FAILED)
 
+    async def caught_up(self) -> None:
+        """Until this process goes by what was written to it while it stood still."""
+        while self.catch_up and self.catch_up.behind():
+            await asyncio.sleep(0)
+
+    def time_left(self, attempt: _Attempt) -> str:
+        """What an attempt tells its worker: how long this scheduler will wait from now on."""
+        return messages.write_timeout(attempt.until_us - self.clock.now_us())
+
     def note_send(self, attempt: _Attempt) -> None:
         """Count and log by which list an attempt goes out."""
         if self.list_lease is None:
@@ -493,7 +508,7 @@
         request = attempt.request
         _current.set((self, attempt))
         headers = dict(request.headers)
-        headers[messages.TIMEOUT] = messages.write_timeout(attempt.until_us - self.clock.now_us())
+        headers[messages.TIMEOUT] = self.time_left(attempt)
         try:
             self.check(attempt)
             async with self.session.post(
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -14,6 +14,7 @@
 from robinhill.config import Config
 from robinhill.net import messages
 from robinhill.net.actor import Supervisor
+from robinhill.net.catch_up import CatchUp
 from robinhill.net.clock import Clock
 from robinhill.net.connections import (
     FRONT_S,
@@ -71,6 +72,7 @@
         self.report = report
         self.deliver = deliver
         self.deadlines_us = tuple(c.deadline_us for c in config.settings.classes)
+        self.catch_up: CatchUp | None = None  # after a stall; None: stalls are not looked for
         self.behind = False  # on what other schedulers know, where they share
         self.drained = False  # by operators: clients should go elsewhere
         self._drains: asyncio.Task[None] | None = None
@@ -141,7 +143,8 @@
             await asyncio.sleep(SWEEP_S)
 
     async def _job(self, request: web.BaseRequest) -> web.StreamResponse:
-        arrived_us = self.clock.now_us()
+        # After a stall it may have been here since the last moment at which we looked.
+        arrived_us = self.catch_up.arrival_us() if self.catch_up else self.clock.now_us()
         body = await request.read()
         job = messages.read_request(
             request.raw_path, request.headers, body, self.config.classes, self.deadlines_us
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -16,6 +16,7 @@
 from robinhill.list_lease import ListLease
 from robinhill.net import logs, messages
 from robinhill.net.actor import Supervisor
+from robinhill.net.catch_up import CatchUp
 from robinhill.net.clock import Clock
 from robinhill.net.connections import bind, inherit
 from robinhill.net.decider import Adopt, Decider, HoldOut, Release, Taken
@@ -67,6 +68,8 @@
             self.decider.tell,
             self.decider.tell,
         )
+        self.catch_up = CatchUp(self.clock, self.destinations.unread)
+        self.decider.catch_up = self.destinations.catch_up = self.catch_up
         self.admission: AdmissionActor | None = None
         if config.operator:
             from robinhill.net import admission
@@ -95,6 +98,7 @@
             self._deliver,
             self.admission.find if self.admission else None,
         )
+        self.inbound.catch_up = self.catch_up
         self.sharing: Sharing | Observing | None = None
         if config.operator and config.operator.mesh.voters:
             from robinhill.net.control import observing
@@ -128,6 +132,7 @@
     async def start(self) -> None:
         if self.operators:
             self.operators.start()
+        self.catch_up.start()
         fd = self.config.socket_fd
         sock = bind(self.config.listen, "GW_LISTEN") if fd is None else inherit(fd)
         if self.succession and self.succession.find():
@@ -151,6 +156,8 @@
         """Learn what the predecessor knows, and hear discovery ourselves, before we accept."""
         self.inbound.succeed(False, self.config.client_sockets(2))
         told = await succession.ask("hello")
+        if told and "clock_anchor_ns" in told:  # an older version does not tell
+            self.clock.follow(told["clock_anchor_ns"])
         if told and told["discovery"] == str(self.config.discovery):
             known = messages.read_destinations(told["known"])
             self.destinations.generation = known.generation
@@ -351,6 +358,7 @@
         known = [messages.write_destination(d) for d in self.decider.listed()]
         generation, now_us = self.destinations.generation or 0, self.clock.now_us()
         return {
+            "clock_anchor_ns": self.clock.anchor_ns,
             "list_age_us": self.list_lease.age_us(now_us),
             "list_left_us": self.list_lease.left_us(now_us),
             "discovery": str(self.config.discovery),
@@ -407,6 +415,7 @@
         if self.operators:
             await self.operators.close()
         await self.inbound.close()
+        self.catch_up.close()
         if self.sharing:
             await self.sharing.close()
         if self.succession:
