--- a/robinhill/list_lease.py
+++ b/robinhill/list_lease.py
@@ -42,11 +42,10 @@
             ListOrigin.CONFIGURATION, version, None, 0,
         )  # fmt: skip
 
-    def handed_over(self, now_us: int, version: int, age_us: int | None, left_us: int) -> None:
-        """The list is a predecessor's, confirmed so long ago (None: never), its lease ends in ``left_us``."""
-        self.origin, self.version = ListOrigin.PREDECESSOR, version
-        self.confirmed_us = None if age_us is None else now_us - age_us
-        self.until_us = 0 if age_us is None else now_us + min(left_us, self.told_us)
+    def handed_over(self, version: int, confirmed_us: int | None, until_us: int) -> None:
+        """The list is a predecessor's, confirmed then (None: never), and its lease ends at ``until_us``."""
+        self.origin, self.version, self.confirmed_us = ListOrigin.PREDECESSOR, version, confirmed_us
+        self.until_us = until_us if confirmed_us is not None else 0
 
     def confirmed(self, heard_us: int, version: int) -> None:
         """Discovery's word was read: a list, its changes, or that nothing has changed since ``version``."""
@@ -76,10 +75,6 @@
         """Whether the list may be sent by."""
         return now_us < self.until_us
 
-    def left_us(self, now_us: int) -> int:
-        """How long it may still be sent by if no word comes."""
-        return max(0, self.until_us - now_us)
-
     def age_us(self, now_us: int) -> int | None:
         """How long ago discovery confirmed the list; None if nothing tells."""
         return None if self.confirmed_us is None else max(0, now_us - self.confirmed_us)
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -164,9 +164,9 @@
         if told and told["discovery"] == str(self.config.discovery):
             known = messages.read_destinations(told["known"])
             self.destinations.generation = known.generation
-            age = told.get("list_age_us")  # an older version does not tell: then it may be of any age
-            now_us, left_us = self.clock.now_us(), told.get("list_left_us", 0)
-            self.list_lease.handed_over(now_us, known.generation, age, left_us)
+            # An older version does not tell: then the list may be of any age.
+            confirmed_us, until_us = told.get("list_confirmed_us"), told.get("list_until_us", 0)
+            self.list_lease.handed_over(known.generation, confirmed_us, until_us)
             self.decider.start(known)
         else:
             self.decider.start()
@@ -359,11 +359,11 @@
         """What a successor needs to watch discovery by itself; it takes a part of what we may use."""
         self.inbound.share(self.config.client_sockets(2))
         known = [messages.write_destination(d) for d in self.decider.listed()]
-        generation, now_us = self.destinations.generation or 0, self.clock.now_us()
+        generation = self.destinations.generation or 0
         return {
             "clock_anchor_ns": self.clock.anchor_ns,
-            "list_age_us": self.list_lease.age_us(now_us),
-            "list_left_us": self.list_lease.left_us(now_us),
+            "list_confirmed_us": self.list_lease.confirmed_us,
+            "list_until_us": self.list_lease.until_us,
             "discovery": str(self.config.discovery),
             "known": {"generation": generation, "reset": True, "instances": known},
         }
--- a/tests/test_endings_workers.py
+++ b/tests/test_endings_workers.py
@@ -219,6 +219,25 @@
     play(withdraw())
 
 
+def test_the_time_that_a_worker_is_told_is_what_is_left_when_the_request_is_written() -> None:
+    """The connect took half a second of it: told as of before, the worker would run on past the client."""
+
+    async def late() -> None:
+        async with rig() as r:
+            connects = HeldConnects()
+            r.dispatch("j1", until_us=2_000_000)
+            await connects.begun.wait()
+            r.clock.ahead_us = 500_000
+            connects.go.set()
+            peer, got = await r.worker.accept(), b""
+            while b"\r\n\r\n" not in got:
+                got += await peer.read()
+            told = int(got.split(b"X-Timeout: ")[1].split(b"u")[0])
+            assert 0 < told <= 1_500_000
+
+    play(late())
+
+
 # A connection says what nobody asked for
 
 
