Let an address vouch only for the list that it told, and count moves by what could be reached

An empty line of a new address, asked for its whole list, renewed the lease on the old one's. Orders to move while no address can be reached cut the lease of who was up to date.

--- a/robinhill/list_lease.py
+++ b/robinhill/list_lease.py
@@ -68,8 +68,11 @@
 
         What it learns meanwhile counts from its return on. That helps only who was up to date by then.
         """
-        if called_us < self.until_us:
-            self.until_us = max(self.until_us, as_of_us + self.told_us)
+        if called_us >= self.until_us:
+            return
+        self.until_us = max(self.until_us, as_of_us + self.told_us)
+        if self.moved_us is not None:
+            self.moved_us = max(self.moved_us, as_of_us)  # the new address was not there before, either
 
     def held(self, now_us: int) -> bool:
         """Whether the list may be sent by."""
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -81,7 +81,7 @@
 
     list: DestinationList | None
     cached: bool = False
-    heard_us: int = 0  # when its last byte was read
+    heard_us: int | None = None  # when its last byte was read; None: it does not vouch for the list in use
 
 
 @dataclass(slots=True, frozen=True)
@@ -654,7 +654,7 @@
         for destination in told.destinations:
             self._update(destination)
         self._decide(api.WorkersListed(kind, [self._worker(d) for d in told.destinations]))
-        if self.list_lease and not listed.cached:
+        if self.list_lease and listed.heard_us is not None:
             self.list_lease.confirmed(listed.heard_us, told.generation)
             self._check_lease()  # only now: what is held must not go out by the list of before
         if self.list_changed:
--- a/robinhill/net/destinations.py
+++ b/robinhill/net/destinations.py
@@ -135,12 +135,12 @@
                 self.pace.heard(self.clock.now_us())
                 if told:
                     self._told(told)
-                else:
-                    self.note(ListConfirmed(self.generation or 0, self.pace.heard_us))
+                elif self.generation is not None:  # else it knows nothing of the list that we have
+                    self.note(ListConfirmed(self.generation, self.pace.heard_us))
                 if first and not told:
                     # Nothing has changed: the module hears that its call has been answered.
                     unchanged = messages.DestinationList(self.generation or 0, False, ())
-                    self.report(Listed(unchanged, heard_us=self.pace.heard_us))
+                    self.report(Listed(unchanged))
                 first = False
 
     async def _in_time(self, work: Awaitable[Answered]) -> Answered:
@@ -158,7 +158,7 @@
         finally:
             if not waiting.done():
                 waiting.cancel()
-                await asyncio.wait([waiting])
+                await asyncio.gather(waiting, return_exceptions=True)
 
     def _told(self, told: messages.DestinationList) -> None:
         self.generation = told.generation
--- a/tests/test_endings_discovery.py
+++ b/tests/test_endings_discovery.py
@@ -25,7 +25,7 @@
 from robinhill.net import scheduler as embedded
 from robinhill.net.actor import Supervisor
 from robinhill.net.clock import Clock
-from robinhill.net.decider import Listed
+from robinhill.net.decider import DiscoveryMoved, ListConfirmed, Listed
 from robinhill.net.destinations import Destinations, Move
 
 from .conftest import MS, S, settings
@@ -486,6 +486,32 @@
     asyncio.run(play())
 
 
+def test_an_empty_line_of_a_new_address_does_not_vouch_for_the_list_of_the_old_one() -> None:
+    async def play() -> None:
+        async with watching() as here:
+            words: list[object] = []
+            here.actor.note = words.append
+            old, new = await here.discoveries[0].listen(), await here.discoveries[1].listen()
+            here.actor.start()
+            call = await old.call()
+            call.send(HEAD + chunk(told(42)))
+            assert await here.generation() == 42
+            here.actor.tell(Move(new.address))
+            call = await new.call()
+            call.send(HEAD + chunk(b"\n"))
+            while not (report := await here.reports.get()).list:
+                pass
+            assert report.heard_us is None
+            call.send(chunk(told(7)))
+            assert await here.generation() == 7
+            call.send(chunk(b"\n"))
+            while not any(isinstance(word, ListConfirmed) for word in words):
+                await asyncio.sleep(0)
+            assert [type(word) for word in words] == [DiscoveryMoved, ListConfirmed]
+
+    asyncio.run(play())
+
+
 def test_a_new_address_that_refuses_at_first_is_still_asked_for_its_whole_list() -> None:
     async def play() -> None:
         async with watching() as here:
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -69,6 +69,17 @@
     assert made.held(HEARD + 2 * S + TOLD_US - 1)
 
 
+def test_orders_to_move_while_no_address_can_be_reached_end_nothing() -> None:
+    made, now = lease(), HEARD
+    for _ in range(5):
+        now += 3 * S
+        made.moved(now)
+        made.unreachable(now, now)
+        assert made.held(now)
+    made.moved(now + 3 * S)
+    assert not made.held(now + MOVED_US)
+
+
 # With the pace of calls, through outages
 
 
