Let nobody connect to a process that waits for its list

The listening socket was open from the start on, so the kernel took connections that nobody read for up to 2.9 s: their requests counted as taken, with deadlines from before we looked. The address is reserved first and listened on once clients are taken; who comes before is refused and goes elsewhere.

--- a/robinhill/net/figures.py
+++ b/robinhill/net/figures.py
@@ -27,9 +27,7 @@
         self.classes = classes
         self.ended: Counter[tuple[str, str]] = Counter()
         self.tries = 0  # attempts written whole to endpoints
-        self.sends: Counter[ListOrigin] = (
-            Counter()
-        )  # attempts of which bytes were written, by the list's origin
+        self.sends: Counter[ListOrigin] = Counter()  # attempts begun on a connection, by the list's origin
         self.refusals: Counter[str] = Counter()  # by reason
         self.retries: Counter[str] = Counter()  # further attempts, by what became of the one before
         self.closes: Counter[str] = Counter()  # connections that this process ended, by side and reason
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -18,7 +18,7 @@
 from robinhill.net.actor import Supervisor
 from robinhill.net.catch_up import CatchUp
 from robinhill.net.clock import Clock
-from robinhill.net.connections import bind, inherit
+from robinhill.net.connections import inherit, listen, reserve
 from robinhill.net.decider import Adopt, Decider, HoldOut, Release, Taken
 from robinhill.net.destinations import Destinations, Move
 from robinhill.net.figures import Figures
@@ -135,7 +135,7 @@
         self.catch_up.start()
         begun_us = self.clock.now_us()
         fd = self.config.socket_fd
-        sock = bind(self.config.listen, "GW_LISTEN") if fd is None else inherit(fd)
+        sock = reserve(self.config.listen, "GW_LISTEN") if fd is None else inherit(fd)
         if self.succession and self.succession.find():
             await self._take_over(self.succession)
         else:
@@ -146,6 +146,8 @@
             self.sharing.start()
         if self.admission:
             self.admission.start()
+        if fd is None:
+            listen(sock, self.config.listen, "GW_LISTEN")
         self.inbound.start(sock)
         if fd is not None and not (self.succession and self.succession.predecessor):
             self.catch_up.wait_since(begun_us)  # clients waited in the queue of the socket that we inherited
