--- a/tests/test_endings_discovery.py
+++ b/tests/test_endings_discovery.py
@@ -633,3 +633,33 @@
             draining.cancel()
 
     asyncio.run(play())
+
+
+def test_a_request_that_waited_in_an_inherited_queue_for_the_list_counts_from_the_start(
+    tmp_path: Path,
+) -> None:
+    """It has been taken: counted from when it is read, its answer would come after its client has gone."""
+
+    async def play() -> None:
+        discovery = await Discovery().listen()
+        async with scheduling(tmp_path, discovery, "subscribe") as scheduler:
+            assert scheduler.config.socket_fd is not None
+            with socket.socket(fileno=os.dup(scheduler.config.socket_fd)) as listening:
+                _, writer = await asyncio.open_connection(*listening.getsockname())
+            writer.write(
+                b"POST /member-lookup/x HTTP/1.1\r\nHost: s\r\nX-Request-ID: j1\r\n"
+                b"X-Priority-Class: member-lookup\r\nX-Timeout: 7000m\r\nContent-Length: 0\r\n\r\n"
+            )
+            begun_us = scheduler.clock.now_us()
+            starting = asyncio.create_task(scheduler.start())
+            call = await discovery.call()
+            await asyncio.sleep(0.5)  # it waits for its list
+            call.send(HEAD + chunk(told(42, zone="brisbane", machineType="std-8")))
+            await starting
+            while not scheduler.decider.held:
+                await asyncio.sleep(0)
+            (held,) = scheduler.decider.held.values()
+            assert held.deadline_us <= begun_us + 7_000_000 + 200_000
+            writer.close()
+
+    asyncio.run(play())
