Let the lease last from one word of a watch to the next where schedulers ask more often

Read in the review: with less than 2 s between asks the lease would have lapsed between two empty lines of a working watch.

--- a/robinhill/list_lease.py
+++ b/robinhill/list_lease.py
@@ -12,8 +12,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from robinhill.listing import TOLD_US
+from robinhill import api
+from robinhill.listing import TOLD_US, WORD_US
 
+SPARE_US = 1_000_000  # from a watch's silence to the answer to the call that follows
 MOVED_US = 4_000_000  # what the discovery at a new address has counts so long after the order to move
 
 
@@ -36,11 +38,14 @@
     until_us: int = 0  # the lease's end
     moved_us: int | None = None  # when another address was named that has not been heard of yet
 
-    def configured(self, version: int) -> None:
-        """The list is that of the configuration: it may be of any age."""
-        self.origin, self.version, self.confirmed_us, self.until_us = (
-            ListOrigin.CONFIGURATION, version, None, 0,
-        )  # fmt: skip
+    @classmethod
+    def by_settings(cls, settings: api.Settings, version: int) -> "ListLease":
+        """For the list of the configuration, of this version.
+
+        Where schedulers ask more often than watches speak, the lease still lasts from one word to the next.
+        """
+        told_us = max(WORD_US + SPARE_US, min(TOLD_US, settings.ask_every_us))
+        return cls(told_us, version=version)
 
     def handed_over(self, version: int, confirmed_us: int | None, until_us: int) -> None:
         """The list is a predecessor's, confirmed then (None: never), and its lease ends at ``until_us``."""
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -57,7 +57,7 @@
         self.supervisor = Supervisor()
         self.figures = Figures(config.classes)
         pace = listing.by_settings(config.settings, random.Random(config.seed))
-        self.list_lease = ListLease(pace.told_us, version=config.known.generation)
+        self.list_lease = ListLease.by_settings(config.settings, config.known.generation)
         self.decider = Decider(config, self.supervisor, self.clock, self.figures, self.list_lease)
         self.destinations = Destinations(
             config.discovery,
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -14,8 +14,7 @@
 
 
 def test_a_list_of_the_configuration_has_no_age_until_discovery_confirms_it() -> None:
-    lease = ListLease()
-    lease.configured(41)
+    lease = ListLease(version=41)
     assert lease.fields(5 * S) == {"list_origin": "configuration", "list_version": 41, "list_age_ms": -1}
     lease.confirmed(5 * S, 43)
     assert lease.fields(7 * S) == {"list_origin": "discovery", "list_version": 43, "list_age_ms": 2_000}
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -9,7 +9,7 @@
 from robinhill.listing import AGAIN_US, CALL_US, TOLD_US, Pace
 from robinhill.stalls import BEAT_US, STALL_US, StallDetector
 
-from .conftest import MS, Node, S, only, sent_to
+from .conftest import MS, Node, S, only, sent_to, settings
 
 HEARD = 100 * S
 
@@ -22,8 +22,7 @@
 
 
 def test_a_configured_list_is_never_leased_however_new_the_process_is() -> None:
-    made = ListLease()
-    made.configured(41)
+    made = ListLease(version=41)
     assert not made.held(0) and not made.held(HEARD)
     made.unreachable(HEARD, HEARD)  # an outage at the start says nothing of what came before it
     assert not made.held(HEARD)
@@ -35,6 +34,14 @@
     assert lease().held(HEARD + TOLD_US - 1) and not lease().held(HEARD + TOLD_US)
 
 
+def test_the_lease_lasts_from_one_word_of_a_watch_to_the_next_however_often_schedulers_ask() -> None:
+    for ask_every_us in (S, 2 * S, 4 * S, 10 * S):
+        made = ListLease.by_settings(settings(must_subscribe=True, ask_every_us=ask_every_us), 41)
+        assert not made.held(HEARD)
+        made.confirmed(HEARD, 41)
+        assert made.held(HEARD + listing.WORD_US) and not made.held(HEARD + TOLD_US)
+
+
 def test_a_handed_over_list_is_as_old_as_it_was_there() -> None:
     made = ListLease()
     made.handed_over(41, 198 * S, 204 * S)
