Hold who comes before the list, and tell the front to wait

So /ready says no until discovery has answered, for 2.9 s at most, and who comes all the same is held. SIGTERM ends the wait.

--- a/robinhill/net/catch_up.py
+++ b/robinhill/net/catch_up.py
@@ -38,11 +38,6 @@
         if self._timer:
             self._timer.cancel()
 
-    def wait_since(self, begun_us: int) -> None:
-        """What is read next may have been here since then: this process did not look."""
-        self.stalls.beat(begun_us)
-        self._begin()
-
     def reading(self) -> bool:
         """Whether words of others may be unread that were written while this process stood still."""
         return self._behind() and self.quiet_turns < READ_TURNS
--- a/robinhill/net/connections.py
+++ b/robinhill/net/connections.py
@@ -526,44 +526,17 @@
     return sock
 
 
-def reserve(address: Address, key: str) -> socket.socket:
-    """A socket bound to the address, on which nobody can connect before it listens.
-
-    What connects to a listening socket waits in the kernel's queue, and its requests count as taken.
-    ``key`` is the setting to name where that can't be.
-    """
-    sock = socket.socket(socket.AF_INET6 if ":" in address.host else socket.AF_INET)
+def bind(address: Address, key: str) -> socket.socket:
+    """A listening socket of our own; ``key`` is the setting to name where that can't be."""
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        if sock.family == socket.AF_INET6:
-            sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
-        sock.bind((address.host, address.port))
+        sock = socket.create_server((address.host, address.port), family=family, backlog=BACKLOG)
     except OSError as e:
-        sock.close()
-        raise _unusable(address, key, e) from e
+        raise ConfigError(key, f"can't listen on {address}: {e.strerror}") from e
     sock.setblocking(False)
     return sock
 
 
-def listen(sock: socket.socket, address: Address, key: str) -> None:
-    """Let connections come on a reserved socket."""
-    try:
-        sock.listen(BACKLOG)
-    except OSError as e:
-        raise _unusable(address, key, e) from e
-
-
-def bind(address: Address, key: str) -> socket.socket:
-    """A listening socket of our own; ``key`` is the setting to name where that can't be."""
-    sock = reserve(address, key)
-    listen(sock, address, key)
-    return sock
-
-
-def _unusable(address: Address, key: str, error: OSError) -> ConfigError:
-    return ConfigError(key, f"can't listen on {address}: {error.strerror}")
-
-
 def connection_of(request: web.BaseRequest) -> Connection:
     assert isinstance(request.protocol, Connection)
     return request.protocol
--- a/robinhill/net/inbound.py
+++ b/robinhill/net/inbound.py
@@ -73,6 +73,7 @@
         self.deliver = deliver
         self.deadlines_us = tuple(c.deadline_us for c in config.settings.classes)
         self.catch_up: CatchUp | None = None  # after a stall; None: stalls are not looked for
+        self.awaiting_list = False  # discovery has not answered yet: what comes is held
         self.behind = False  # on what other schedulers know, where they share
         self.drained = False  # by operators: clients should go elsewhere
         self._drains: asyncio.Task[None] | None = None
@@ -127,7 +128,9 @@
     @property
     def ready(self) -> bool:
         """Whether clients should come here."""
-        return self.serving and not (self.leaving or self.drained or self.succeeded or self.behind)
+        return self.serving and not (
+            self.leaving or self.drained or self.succeeded or self.behind or self.awaiting_list
+        )
 
     def drain(self, start: bool) -> None:
         """Send clients elsewhere, or take them again; nothing is refused, and endpoints go on calling."""
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -18,7 +18,7 @@
 from robinhill.net.actor import Supervisor
 from robinhill.net.catch_up import CatchUp
 from robinhill.net.clock import Clock
-from robinhill.net.connections import inherit, listen, reserve
+from robinhill.net.connections import bind, inherit
 from robinhill.net.decider import Adopt, Decider, HoldOut, Release, Taken
 from robinhill.net.destinations import Destinations, Move
 from robinhill.net.figures import Figures
@@ -40,7 +40,7 @@
 Json = dict[str, Any]
 TAKE_ON_S = 0.7  # after SIGTERM: what still arrives in this time is taken
 HAND_OVER_S = 0.05  # how often what is owed is looked at while a successor takes it
-LIST_S = 2.9  # for discovery's first answer, before clients are taken; later they are held until it comes
+LIST_S = 2.9  # for discovery's first answer, before this process says that it is ready
 START_S = 0.9  # an operator's call to a process that still starts is answered no after it
 STARTING = Answer(503, b"still starting\n")
 HANDED_ADMISSION = "door"  # the key between processes of all versions, which may take over from one another
@@ -123,7 +123,8 @@
                 self.sharing.vouch if self.sharing else None,
             )
             self.operators = Operators(config.ops, config.ops_sockets - 1, self.supervisor, calls)
-        self.started = asyncio.Event()  # it accepts
+        self.started = asyncio.Event()  # it is ready to serve
+        self.stopping = asyncio.Event()  # it is told to end
         self.succession: Succession | None = None
         if config.socket_fd is not None and config.folder:
             self.succession = Succession(config.folder, self.supervisor, self)
@@ -133,24 +134,24 @@
         if self.operators:
             self.operators.start()
         self.catch_up.start()
-        begun_us = self.clock.now_us()
         fd = self.config.socket_fd
-        sock = reserve(self.config.listen, "GW_LISTEN") if fd is None else inherit(fd)
+        sock = bind(self.config.listen, "GW_LISTEN") if fd is None else inherit(fd)
         if self.succession and self.succession.find():
             await self._take_over(self.succession)
         else:
             self.decider.start()
             self.destinations.start()
-            await self._list_leased()
+            self.inbound.awaiting_list = True
         if self.sharing:
             self.sharing.start()
         if self.admission:
             self.admission.start()
-        if fd is None:
-            listen(sock, self.config.listen, "GW_LISTEN")
+        # Who comes before the list is held: the kernel takes connections from the bind on, and with most
+        # schedulers restarting there is nobody else to go to. The front is told to wait.
         self.inbound.start(sock)
-        if fd is not None and not (self.succession and self.succession.predecessor):
-            self.catch_up.wait_since(begun_us)  # clients waited in the queue of the socket that we inherited
+        if self.inbound.awaiting_list:
+            await self._list_leased()
+            self.inbound.awaiting_list = False
         if self.succession:
             await self.succession.begin()
         self.started.set()
@@ -181,11 +182,13 @@
             self.inbound.drain(memory["drained"])
 
     async def _list_leased(self) -> None:
-        """Wait until there is a list to send by, but no longer than a client's patience with a restart."""
-        try:
-            async with asyncio.timeout(LIST_S):
-                await self.decider.lease_held.wait()
-        except TimeoutError:
+        """Wait until there is a list to send by, or we are told to end; no longer than a restart may take."""
+        events = (self.decider.lease_held, self.stopping)
+        waiting = [asyncio.ensure_future(event.wait()) for event in events]
+        done, pending = await asyncio.wait(waiting, timeout=LIST_S, return_when=asyncio.FIRST_COMPLETED)
+        for wait in pending:
+            wait.cancel()
+        if not done:
             log.warning("list_awaited", extra={"seconds": LIST_S})
 
     def reload(self) -> None:
@@ -433,13 +436,12 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain; reload on SIGHUP. An actor's death raises its error."""
-        stop = asyncio.Event()
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.reload)
         for number in (signal.SIGTERM, signal.SIGINT):
-            asyncio.get_running_loop().add_signal_handler(number, stop.set)
+            asyncio.get_running_loop().add_signal_handler(number, self.stopping.set)
         await self.start()
         try:
-            await self.supervisor.unless_failed(stop.wait())
+            await self.supervisor.unless_failed(self.stopping.wait())
             await self.supervisor.unless_failed(self.drain())
         finally:
             await self.close()
