--- a/tests/test_list_after_start.py
+++ b/tests/test_list_after_start.py
@@ -51,6 +51,17 @@
     here.discovery.tell(here.workers[1], "left")
 
 
+async def start_unanswered(here: Town) -> asyncio.Task[None]:
+    """A new process, which has called discovery and waits for the answer."""
+    await here.program.kill()
+    called = len(here.discovery.calls)
+    here.discovery.answering.clear()
+    starting = asyncio.create_task(here.program.start())
+    while len(here.discovery.calls) == called:
+        await asyncio.sleep(0.01)
+    return starting
+
+
 def sent_to_left(here: Town, since: float) -> int:
     return sum(e.what is What.SENT and e.worker in LEFT and e.at > since for e in here.journal.events)
 
@@ -83,12 +94,7 @@
 
     async def run() -> None:
         async with served(ASK) as here:
-            await here.program.kill()
-            called = len(here.discovery.calls)
-            here.discovery.answering.clear()
-            starting = asyncio.create_task(here.program.start())
-            while len(here.discovery.calls) == called:
-                await asyncio.sleep(0.01)
+            starting = await start_unanswered(here)
             async with (
                 aiohttp.ClientSession() as session,
                 session.get(f"http://{here.program.listen}/ready") as ready,
@@ -106,12 +112,7 @@
 def test_a_process_that_is_told_to_end_while_it_waits_for_its_list_ends_at_once() -> None:
     async def run() -> None:
         async with served(ASK) as here:
-            await here.program.kill()
-            called = len(here.discovery.calls)
-            here.discovery.answering.clear()
-            starting = asyncio.create_task(here.program.start())
-            while len(here.discovery.calls) == called:
-                await asyncio.sleep(0.01)
+            starting = await start_unanswered(here)
             begun = time.monotonic()
             assert await here.program.stop() == 0
             assert time.monotonic() - begun < 2.5
