Simplify what the incident's change left behind

The bound from the settings and the age for lines and figures are each worked out in one place. The decider looks for the lease's absence once. Program.kill and the numbering of its logs serve the rig and the control group's tests too, which had their own; Discovery.stop ends watches by cut_watches. A test on outages walks through calls as the program does, with the same assertions, and needs no second pace to foretell what one finds.

--- a/robinhill/emulator/discovery.py
+++ b/robinhill/emulator/discovery.py
@@ -89,8 +89,7 @@
 
     async def stop(self) -> None:
         self.answering.set()
-        for watch in self._watches:
-            watch.put_nowait(None)
+        self.cut_watches()
         for runner in self._runners:
             await runner.cleanup()
 
--- a/robinhill/emulator/program.py
+++ b/robinhill/emulator/program.py
@@ -67,6 +67,7 @@
             (self.folder / "operator.json").write_text(json.dumps(self.operator))
 
     async def start(self) -> None:
+        self.number += self.process is not None  # a later process's log is another file
         self.write()
         env = os.environ | {"GW_CONFIG": str(self.folder / "config.json"), "GW_OPS": self.ops}
         env |= {"TMPDIR": str(self.state or self.folder)} | self.env
@@ -116,7 +117,6 @@
         assert self.process
         self.process.kill()
         await self.process.wait()
-        self.number += 1  # the next one's log is another file
 
     async def stop(self) -> int:
         """SIGTERM, and its exit code; a kill if it does not end."""
--- a/robinhill/emulator/rig.py
+++ b/robinhill/emulator/rig.py
@@ -239,19 +239,14 @@
     # Processes
 
     async def start(self, name: str) -> None:
-        program = self.programs[name]
-        program.number += program.process is not None
         for kept in self._kept.pop(name, []):
             kept.close()
-        await program.start()
+        await self.programs[name].start()
         self.journal.note(What.UP, scheduler=name)
 
     async def kill(self, name: str) -> None:
-        process = self.programs[name].process
-        assert process
         self.journal.note(What.DOWN, scheduler=name)
-        process.kill()
-        await process.wait()
+        await self.programs[name].kill()
         self._keep(name)
 
     def _keep(self, name: str) -> None:
--- a/robinhill/emulator/site.py
+++ b/robinhill/emulator/site.py
@@ -91,7 +91,7 @@
 
     The same is never given twice: with 37 processes two of them got one port, as neither listened yet.
     """
-    for port in random.sample(PORTS, len(PORTS)):
+    for port in random.sample(PORTS, 64):
         if port in _given:
             continue
         with socket.socket() as sock, contextlib.suppress(OSError):
--- a/robinhill/list_lease.py
+++ b/robinhill/list_lease.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from robinhill import api
-from robinhill.listing import TOLD_US, WORD_US
+from robinhill.listing import TOLD_US, WORD_US, told_within_us
 
 SPARE_US = 1_000_000  # from a watch's silence to the answer to the call that follows
 MOVED_US = 4_000_000  # what the discovery at a new address has counts so long after the order to move
@@ -44,8 +44,7 @@
 
         Where schedulers ask more often than watches speak, the lease still lasts from one word to the next.
         """
-        told_us = max(WORD_US + SPARE_US, min(TOLD_US, settings.ask_every_us))
-        return cls(told_us, version=version)
+        return cls(max(WORD_US + SPARE_US, told_within_us(settings)), version=version)
 
     def handed_over(self, version: int, confirmed_us: int | None, until_us: int) -> None:
         """The list is a predecessor's, confirmed then (None: never), and its lease ends at ``until_us``."""
@@ -87,11 +86,15 @@
         """How long ago discovery confirmed the list; None if nothing tells."""
         return None if self.confirmed_us is None else max(0, now_us - self.confirmed_us)
 
-    def fields(self, now_us: int) -> dict[str, object]:
-        """For a log line; an age of -1 is not known."""
+    def age_ms(self, now_us: int) -> int:
+        """The same for log lines and figures, in milliseconds; -1 if nothing tells."""
         age_us = self.age_us(now_us)
+        return -1 if age_us is None else age_us // 1000
+
+    def fields(self, now_us: int) -> dict[str, object]:
+        """For a log line."""
         return {
             "list_origin": self.origin.value,
             "list_version": self.version,
-            "list_age_ms": -1 if age_us is None else age_us // 1000,
+            "list_age_ms": self.age_ms(now_us),
         }
--- a/robinhill/listing.py
+++ b/robinhill/listing.py
@@ -101,7 +101,11 @@
         return int(wait * (least + (1 - least) * self.random.random()))
 
 
-def by_settings(settings: api.Settings, chance: random.Random) -> Pace:
+def told_within_us(settings: api.Settings) -> int:
     """Without a watch, changes count once the time to ask again is over, should that be the sooner."""
-    told_us = min(TOLD_US, settings.ask_every_us)
-    return Pace(not settings.must_subscribe, chance, settings.fleet_size, told_us)
+    return min(TOLD_US, settings.ask_every_us)
+
+
+def by_settings(settings: api.Settings, chance: random.Random) -> Pace:
+    """The pace of calls where these settings hold."""
+    return Pace(not settings.must_subscribe, chance, settings.fleet_size, told_within_us(settings))
--- a/robinhill/net/catch_up.py
+++ b/robinhill/net/catch_up.py
@@ -40,26 +40,19 @@
 
     def reading(self) -> bool:
         """Whether words of others may be unread that were written while this process stood still."""
-        return self._behind() and self.quiet_turns < READ_TURNS
+        return self.behind() and self.quiet_turns < READ_TURNS
 
     def behind(self) -> bool:
         """Whether that is so, or not everything here goes by them yet."""
-        return self._behind()
-
-    def arrival_us(self) -> int:
-        """The latest moment at which what is read now surely was not there yet, or now if all is read."""
-        return self.stalls.last_us if self._behind() else self.clock.now_us()
-
-    def _behind(self) -> bool:
         if not self.turns and self._timer and self.stalls.stalled(now := self.clock.now_us()):
             log.info("stood_still", extra={"for_ms": (now - self.stalls.last_us) // 1000})
-            self._begin()
+            self.turns, self.quiet_turns = 1, 0
+            asyncio.get_running_loop().call_soon(self._turn)
         return self.turns > 0
 
-    def _begin(self) -> None:
-        if not self.turns:
-            asyncio.get_running_loop().call_soon(self._turn)
-        self.turns, self.quiet_turns = 1, 0
+    def arrival_us(self) -> int:
+        """The latest moment at which what is read now surely was not there yet, or now if all is read."""
+        return self.stalls.last_us if self.behind() else self.clock.now_us()
 
     def _turn(self) -> None:
         self.turns += 1
@@ -71,7 +64,7 @@
         self.stalls.beat(self.clock.now_us())
 
     def _beat(self) -> None:
-        if not self._behind():
+        if not self.behind():
             self.stalls.beat(self.clock.now_us())
         self._schedule()
 
--- a/robinhill/net/decider.py
+++ b/robinhill/net/decider.py
@@ -263,8 +263,7 @@
     def receive(self, message: ToDecider) -> None:
         if self.lease and self.lease() is not self.vouched:
             self._vouch(not self.vouched)
-        if self.list_lease:
-            self._check_lease()
+        self._check_lease()
         match message:
             case Taken():
                 self._taken(message)
@@ -320,11 +319,13 @@
 
     def _check_lease(self) -> None:
         """Tell the module when the lease on the list is lost or held again."""
-        if self.list_lease is None or (held := self.list_lease.held(self.clock.now_us())) is (
-            self.lease_held.is_set()
-        ):
+        if self.list_lease is None:
+            return
+        now = self.clock.now_us()
+        held = self.list_lease.held(now)
+        if held is self.lease_held.is_set():
             return
-        told = self.list_lease.fields(self.clock.now_us())
+        told = self.list_lease.fields(now)
         if held:
             self.lease_held.set()
             log.info("list_lease_held", extra=told)
--- a/robinhill/net/figures.py
+++ b/robinhill/net/figures.py
@@ -62,8 +62,7 @@
             lines += [f"{PREFIX}.{name}.{why}:{count}|c" for why, count in sorted(counts.items())]
         if self.list_lease:
             lines.append(f"{PREFIX}.list.version:{self.list_lease.version}|g")
-            age_us = self.list_lease.age_us(now_us)
-            lines.append(f"{PREFIX}.list.age_ms:{-1 if age_us is None else age_us // 1000}|g")
+            lines.append(f"{PREFIX}.list.age_ms:{self.list_lease.age_ms(now_us)}|g")
         if self.admission_queued:
             queued = self.admission_queued()
             lines.append(f"{PREFIX}.admission.queued:{queued}|g")
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -116,12 +116,6 @@
                 await worker.stop()
 
 
-async def kill(program: Program) -> None:
-    assert program.process
-    program.process.kill()
-    await program.process.wait()
-
-
 async def until(holds: Callable[[], Awaitable[bool]], deadline_s: float = DEADLINE_S) -> None:
     async with asyncio.timeout(deadline_s):
         while not await holds():
@@ -243,7 +237,7 @@
                 return b"c1" in (first.folder / "mesh.state").read_bytes()
 
             await until(saved)
-            await kill(first)
+            await first.kill()
             told = await settled(one, not_voter="v1")
             assert {told["voter"], told["spare_voter"]} == {"v2", "v3"}
             assert (await cordon(one, "c2", wait="", target="worker/w1"))[0] == 200
@@ -251,7 +245,7 @@
             assert "records=1" in first.log.read_text(), "it took what its disk held"
             await until(lambda: has(first, "/ops/mesh", counts=True))
             second = here.voters["v2"]
-            await kill(second)
+            await second.kill()
             (second.folder / "mesh.state").unlink()
             await second.start()
             await until(lambda: has(second, "/ops/mesh", counts=True))
@@ -299,7 +293,7 @@
             assert await here.ask("s1", 6) == {"w1", "w2"}
 
             await settled(two)
-            await kill(two)
+            await two.kill()
             status, told = await cordon(one, "c2", target="worker/w1")
             assert status == 200 and told["in_force"]
             # It may have sent until its lease was over: the bound after the last answer to a heartbeat.
@@ -314,7 +308,7 @@
     async def play() -> None:
         async with group() as here:
             one, three = here.schedulers["s1"], here.schedulers["s3"]
-            await kill(three)
+            await three.kill()
             assert await here.schedulers["s2"].stop() == 0
             status, told = await cordon(one, wait="?wait=0.5")
             assert (status, told["type"]) == (504, "BoundNotMet")
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -126,9 +126,8 @@
 
 def listener() -> socket.socket:
     sock = socket.socket()
-    sock.setsockopt(
-        socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
-    )  # discovery comes back on a port with old watches
+    # Discovery comes back on a port that has old watches.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(("127.0.0.1", 0))
     sock.settimeout(PATIENCE_S)
     return sock
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -103,27 +103,20 @@
         pace.called(HEARD - S)
         pace.heard(HEARD)
         now = HEARD + S  # the watch ends
+        now += pace.lost(now)
         lapses: list[int] = []
         while now < HEARD + 120 * S:
-            now += pace.lost(now, answered=False)
             pace.called(now)
             now += lasts_us
             lapses += [lapsed] if (lapsed := now - made.until_us) > 0 else []
-            away = _away(pace, now)
-            assert away is not None
-            made.unreachable(pace.called_us, away)
+            wait_us = pace.lost(now, answered=False)
+            assert pace.away_us is not None
+            made.unreachable(pace.called_us, pace.away_us)
             assert made.held(now)
+            now += wait_us
         assert len(lapses) <= 2 and max(lapses, default=0) <= 750 * MS
 
 
-def _away(pace: Pace, now: int) -> int | None:
-    """What `lost` is about to find, for a call that nothing answered."""
-    probe = Pace(pace.pushed, random.Random(0), pace.fleet_size)
-    probe.called_us, probe.tries = pace.called_us, pace.tries
-    probe.lost(now, answered=False)
-    return probe.away_us
-
-
 def test_where_discovery_answers_and_no_whole_word_comes_the_lease_ends() -> None:
     """It can be reached: a change that it had counts, though nobody here has heard of it."""
     pace, made = Pace(False, random.Random(1), 200), lease()
