Review case 1: bad clients make the program forget an open id, and a copy of it ends the program

Cause: the program remembers the last 16,384 ids and drops the oldest even if its request is open; a second request of that id overwrites the first one's entry, and removing both raises KeyError, which ends the program. It takes the place of the earlier case 2, which reached the same code through a replacement and a window that is short in service.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A second answer that comes some milliseconds late: does a renewal-charge run twice?"""
+"""Many requests of bad clients, then the id of a usual client's open request: does the scheduler go on?"""
 
 import asyncio
 import random
@@ -13,11 +13,12 @@
     TROUBLE,
     Client,
     Discovery,
-    Message,
+    Json,
     Record,
     Scheduler,
     Worker,
     free_address,
+    read_message,
     run_case,
     second_copies,
     settings,
@@ -25,98 +26,128 @@
 )
 
 SEED = 43
-LAST_REQUEST_S = 90.0
-REQUESTS_PER_S = 12.0  # of about 24 jobs a second, with two schedulers
-FOREIGN_SHARE = 0.73  # of the workers' capacity is in use by the other schedulers; 0.98 with ours
-CROSS_S = 0.0075  # one way between the two data centres: 5.6 to 10 ms
-SAME_S = 0.006  # the same within a data centre, with the time that a worker takes to answer
-SECOND_ANSWER_MS = (2.0, 6.0)  # "some milliseconds late"
-SMALL_MEMORY = 0.7  # the smaller machines turn away a job that needs more
-RUN_MS = {CLASSES[0]: 600.0, CLASSES[1]: 2600.0, CLASSES[2]: 1700.0}
+CLIENTS = 6  # usual clients
+CALM_S = 3.0
+LONG_RUN_MS = 12_000.0  # of one long renewal-charge; it is given up after 25 s
+BAD_CLIENTS = 20
+BAD_REQUESTS = 1_000  # of each bad client at most
+COPY_PAUSE_S = 0.5
+LAST_REQUEST_S = 34.0
+TOTAL_S = 45.0
+RUN_MS = {CLASSES[0]: (430.0, 820.0), CLASSES[1]: (2600.0, 4900.0), CLASSES[2]: (1700.0, 3300.0)}
 SHARES = (0.47, 0.31, 0.22)
 
 
-async def load(worker: Worker, rng: random.Random) -> None:
-    """The jobs of other schedulers at one worker."""
-    mean_ms = sum(share * RUN_MS[name] for name, share in zip(CLASSES, SHARES, strict=True))
-    per_s = FOREIGN_SHARE * worker.slots * worker.speed * 1000 / mean_ms
-    while True:
-        await asyncio.sleep(rng.expovariate(per_s))
-        worker.add_foreign(mean_ms * rng.uniform(0.6, 1.4))
+async def traffic(client: Client, rng: random.Random) -> None:
+    """One usual client: a job after the other, on one kept connection."""
+    number = 0
+    while client.record.now() < LAST_REQUEST_S:
+        job_class = rng.choices(CLASSES, SHARES)[0]
+        await client.ask(f"{client.name}-{number:04d}", job_class, rng.uniform(*RUN_MS[job_class]))
+        number += 1
+        await asyncio.sleep(rng.uniform(0.05, 0.4))
+
+
+async def turned_away(listen: str, name: str, stop: asyncio.Event, statuses: Counter[int | None]) -> None:
+    """One bad client: sends its request again, under a fresh id, the moment it is turned away."""
+    host, port = listen.split(":")
+    streams = None
+    for number in range(BAD_REQUESTS):
+        if stop.is_set():
+            break
+        try:
+            streams = streams or await asyncio.open_connection(host, int(port))
+            head = (
+                f"POST /{CLASSES[0]} HTTP/1.1", "Host: api.internal", f"X-Request-ID: {name}-{number:04d}",
+                f"X-Priority-Class: {CLASSES[0]}", "X-Timeout: 1m", "Content-Length: 2",
+            )  # fmt: skip
+            streams[1].write(("\r\n".join(head) + "\r\n\r\n{}").encode())
+            got = await read_message(streams[0])
+        except ConnectionError:
+            got = None
+        statuses[got.status if got else None] += 1
+        if streams and (got is None or got.headers.get("connection", "").lower() == "close"):
+            streams[1].close()
+            streams = None
+    if streams:
+        streams[1].close()
+
+
+async def copier(record: Record, listen: str, victim: str, stop: asyncio.Event) -> None:
+    """Another bad client: sends the id of a usual client's open request until it isn't turned away for it."""
+    bad = Client(record, listen, "bad")
+    while not stop.is_set() and not any(line["id"] == victim for line in usual_answers(record)):
+        got = await bad.ask(victim, CLASSES[2], 1_000.0, timeout_ms=8_000)
+        if got and got.status != 409:
+            break
+        await asyncio.sleep(COPY_PAUSE_S)
+    stop.set()
+
+
+async def bad_clients(record: Record, listen: str, victim: str) -> None:
+    """All bad clients, until a copy of the victim's request is accepted, or the request is answered."""
+    statuses: Counter[int | None] = Counter()
+    stop = asyncio.Event()
+    record.write("bad_clients_begin")
+    floods = (turned_away(listen, f"b{n:02d}", stop, statuses) for n in range(BAD_CLIENTS))
+    await asyncio.gather(copier(record, listen, victim, stop), *floods)
+    counts = {str(status): count for status, count in statuses.items()}
+    record.write("bad_clients_end", statuses=counts)
+
+
+def usual_answers(record: Record) -> list[Json]:
+    """The ends of usual clients' requests."""
+    return [line for line in record.of("answer") if line["client"] != "bad"]
 
 
 async def play(record: Record, folder: Path) -> bool:
-    """Play requests at a steady rate, and return whether a renewal-charge was run twice."""
+    """Play usual traffic with bad clients beside it; return whether the scheduler ended by itself."""
     rng = random.Random(SEED)
     discovery, listen = Discovery(record), free_address()
     await discovery.start()
-
-    def second_answer(status: int) -> float | None:
-        return rng.uniform(*SECOND_ANSWER_MS) if TROUBLE and status == 503 else None
-
-    workers: list[Worker] = []
-    for number in range(10):
-        far, small = number % 2 == 1, number >= 5
-        worker = Worker(f"s-{number}", record, listen, memory=SMALL_MEMORY if small else 1.0,
-                        delay_s=CROSS_S if far else SAME_S, speed=0.75 if small else 1.0,
-                        second_answer=second_answer)  # fmt: skip
-        workers.append(worker)
+    workers = [Worker(f"s-{number}", record, listen) for number in range(10)]
+    for worker in workers:
         await worker.start()
-        zone, kind = "townsville" if far else "brisbane", "slow-8" if small else "std-8"
-        discovery.set(worker.name, worker.address, zone, kind)
+        discovery.set(worker.name, worker.address, "brisbane", "std-8")
     config = {
         "name": "n1", "listen": listen, "discovery": discovery.address, "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": discovery.known(),
         "settings": settings(),
     }  # fmt: skip
     scheduler = Scheduler(record, folder, listen, config)
-    foreign: list[asyncio.Task[None]] = []
-    clients: list[Client] = []  # each keeps its connection; one more is opened when all are busy
-    asked: set[asyncio.Task[Message | None]] = set()
+    victim = "usual-0000"
+    tasks: list[asyncio.Task[object]] = []
     try:
         scheduler.start()
         await wait_ready(listen, "/ready")
-        foreign += [asyncio.create_task(load(worker, rng)) for worker in workers]
-        await asyncio.sleep(3.0)
-        number = 0
-        while record.now() < LAST_REQUEST_S and not scheduler.crashed(0):
-            await asyncio.sleep(rng.expovariate(REQUESTS_PER_S))
-            number += 1
-            job_class = rng.choices(CLASSES, SHARES)[0]
-            big = job_class == CLASSES[1] and rng.random() < 0.5
-            client = next((c for c in clients if not c.busy), None)
-            if client is None:
-                client = Client(record, listen, f"c{len(clients)}")
-                clients.append(client)
-            run_ms = RUN_MS[job_class] * rng.uniform(0.6, 1.4)
-            asked.add(
-                asyncio.create_task(client.ask(f"r{number:06x}", job_class, run_ms, 0.8 if big else 0.4))
-            )
-            await asyncio.sleep(0)  # the client is busy from here on
-        await asyncio.sleep(6.0)
+        tasks += [
+            asyncio.create_task(traffic(Client(record, listen, f"c{number}"), rng))
+            for number in range(CLIENTS)
+        ]
+        await asyncio.sleep(CALM_S)
+        usual = Client(record, listen, "usual")
+        tasks.append(asyncio.create_task(usual.ask(victim, CLASSES[2], LONG_RUN_MS)))
+        await asyncio.sleep(0.2)
+        if TROUBLE:
+            tasks.append(asyncio.create_task(bad_clients(record, listen, victim)))
+        crashed = False
+        while record.now() < TOTAL_S and not crashed:
+            await asyncio.sleep(0.25)
+            crashed = scheduler.crashed(0)
+        await asyncio.sleep(1.0)
+        await asyncio.wait(tasks, timeout=0.1)
     finally:
         scheduler.end()
-        for task in (*foreign, *asked):
+        for task in tasks:
             task.cancel()
-    return verdict(record)
-
-
-def verdict(record: Record) -> bool:
-    """Whether a request had two attempts out at once; prints how many, and which charges ran twice."""
-    runs = Counter(line["id"] for line in record.of("run") if line["job_class"] == CLASSES[2])
-    twice = [job_id for job_id, count in runs.items() if count > 1]
-    copies = second_copies(record)
-    for line in copies:
-        shown = {key: line[key] for key in ("id", "job_class", "worker", "first_at")}
-        record.write("second_copy", at=line["t"], **shown)
-    for job_id in twice:
-        workers = [line["worker"] for line in record.of("run") if line["id"] == job_id]
-        record.write("run_twice", id=job_id, job_class=CLASSES[2], workers=workers)
-    answers = Counter(line["status"] for line in record.of("answer"))
-    print(f"{len(record.of('second_answer'))} second answers; answers to clients by status: {dict(answers)}")
-    print(f"{len(copies)} second copies: {dict(Counter(line['job_class'] for line in copies))}")
-    print(f"{len(runs)} renewal-charges run, {len(twice)} of them twice")
-    return bool(copies)
+    for line in record.of("bad_clients_end") + record.of("exited"):
+        print(str(line)[:200])
+    unanswered = [line["id"] for line in usual_answers(record) if line["status"] is None]
+    print(f"{len(usual_answers(record))} answers to usual clients; requests without one: {unanswered}")
+    print(f"second copies: {[(line['id'], line['job_class']) for line in second_copies(record)]}")
+    to_both = [(x["client"], x["status"]) for x in record.of("answer") if x["id"] == victim]
+    print(f"to the open request and its copies: {to_both}")
+    return crashed
 
 
 if __name__ == "__main__":
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
-"""The id of another client's open request, while the program is replaced: does the new process go on?"""
+"""A header that can't be read, while the program is replaced: are other clients' requests lost?"""
 
 import asyncio
+import random
 import signal
 import socket
 import sys
@@ -19,30 +20,44 @@
     Worker,
     free_address,
     run_case,
-    second_copies,
     settings,
     wait_ready,
 )
 
+SEED = 43
 LISTENING_DESCRIPTOR = 4
-CLIENTS = 6
-SIGTERM_AFTER_S = 6.0  # the new process gets 6 s to say yes; then the old one gets SIGTERM
-OPEN_RUN_MS = 6_000.0
-TOTAL_S = 40.0
+CLIENTS = 8
+CALM_S = 4.0  # before the unreadable request
+BEFORE_S = 0.5  # between that request and the start of the replacement
+BAD_RUN_MS = 4900.0  # the upper end of 5.2
+LAST_REQUEST_S = 25.0
+TOTAL_S = 55.0  # the longest deadline is 25 s
+RUN_MS = {CLASSES[0]: (430.0, 820.0), CLASSES[1]: (2600.0, 4900.0), CLASSES[2]: (1700.0, 3300.0)}
+SHARES = (0.47, 0.31, 0.22)
+READABLE = b"X-Tenant-Id: Societe"
+UNREADABLE = b"X-Tenant-Id: Soci\xe9t\xe9"  # in Latin-1: these bytes aren't valid UTF-8
 
 
-async def traffic(client: Client, until_s: float) -> None:
+async def traffic(client: Client, rng: random.Random) -> None:
     """One usual client: a job after the other, on one kept connection."""
     number = 0
-    while client.record.now() < until_s:
-        job_class = CLASSES[number % 3]
-        await client.ask(f"{client.name}-{number:04d}", job_class, (600.0, 2600.0, 1700.0)[number % 3])
+    while client.record.now() < LAST_REQUEST_S:
+        job_class = rng.choices(CLASSES, SHARES)[0]
+        await client.ask(f"{client.name}-{number:04d}", job_class, rng.uniform(*RUN_MS[job_class]))
         number += 1
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(rng.uniform(0.05, 0.4))
+
+
+async def bad_client(client: Client) -> None:
+    """Send one season-report whose head can't be read, and wait for its answer."""
+    header = UNREADABLE if TROUBLE else READABLE
+    client.record.write("bad_client", id="bad-0000", header=repr(header))
+    await client.ask("bad-0000", CLASSES[1], BAD_RUN_MS, header=header)
 
 
 async def play(record: Record, folder: Path) -> bool:
-    """Replace the process under load, and return whether the new one crashed or lost requests."""
+    """Replace the process under load, and return whether a usual client's request was lost."""
+    rng = random.Random(SEED)
     discovery = Discovery(record)
     await discovery.start()
     with socket.create_server((HOST, 0), backlog=1024) as listening:
@@ -67,41 +82,40 @@
             record.write("yes", process=number)
             return number
 
+        tasks: list[asyncio.Task[None]] = []
         try:
             old = await start()
-            usual = Client(record, listen, "usual")
-            await usual.ask("usual-0000", CLASSES[0], 300.0)  # its connection stays open
-            load = [
-                asyncio.create_task(traffic(Client(record, listen, f"c{number}"), TOTAL_S - 4))
-                for number in range(CLIENTS)
-            ]
-            await asyncio.sleep(2.0)
-            replaced = asyncio.get_running_loop().time()
+            clients = [Client(record, listen, f"c{number}") for number in range(CLIENTS)]
+            tasks = [asyncio.create_task(traffic(client, rng)) for client in clients]
+            await asyncio.sleep(CALM_S)
+            tasks.append(asyncio.create_task(bad_client(Client(record, listen, "bad"))))
+            await asyncio.sleep(BEFORE_S)
             new = await start()
-            await asyncio.sleep(replaced + SIGTERM_AFTER_S - 1.5 - asyncio.get_running_loop().time())
-            open_request = asyncio.create_task(usual.ask("usual-0001", CLASSES[2], OPEN_RUN_MS))
-            await asyncio.sleep(0.5)
-            if TROUBLE:  # a bad client: the id of another client's open request
-                bad = Client(record, listen, "bad")
-                other = asyncio.create_task(bad.ask("usual-0001", CLASSES[2], 1_000.0))
-                load.append(other)
-            await asyncio.sleep(1.0)
-            scheduler.signal(old, signal.SIGTERM)
-            crashed = False
-            while record.now() < TOTAL_S and not crashed:
-                await asyncio.sleep(0.25)
-                crashed = scheduler.crashed(new)
-            await asyncio.sleep(1.0)
-            for task in (open_request, *load):
-                task.cancel()
-            await asyncio.gather(open_request, *load, return_exceptions=True)
+            scheduler.signal(old, signal.SIGTERM)  # the new process has said yes
+            await asyncio.wait(tasks, timeout=TOTAL_S - record.now())
+            for number in (old, new):
+                errors = [line for line in scheduler.log(number).splitlines() if "Error: " in line][:1]
+                code = scheduler.processes[number].poll()
+                record.write("process", process=number, code=code, error=errors)
         finally:
             scheduler.end()
-    unanswered = [x["id"] for x in record.of("answer") if x["status"] is None and x["client"] != "bad"]
-    print(f"{len(record.of('answer'))} answers; requests of usual clients without one: {unanswered}")
-    print(f"{len(second_copies(record))} second copies")
-    print("the new process crashed" if crashed else "the new process still ran at the end")
-    return crashed
+            for task in tasks:
+                task.cancel()
+    return verdict(record)
+
+
+def verdict(record: Record) -> bool:
+    """Whether a usual client got no answer to a request that had reached a worker; prints which."""
+    reached = {line["id"] for line in record.of("attempt")}
+    answers = [line for line in record.of("answer") if line["client"] != "bad"]
+    lost = [line["id"] for line in answers if line["status"] is None and line["id"] in reached]
+    for line in record.of("request"):
+        if line["id"] in lost:
+            record.write("lost", id=line["id"], job_class=line["job_class"], sent_at=line["t"])
+    for line in record.of("process"):
+        print(f"process {line['process']}: exit code {line['code']}, {line['error']}")
+    print(f"{len(answers)} answers to usual clients; without one, though a worker had the job: {lost}")
+    return bool(lost)
 
 
 if __name__ == "__main__":
--- a/review/standin.py
+++ b/review/standin.py
@@ -419,9 +419,18 @@
             self.streams = None
 
     async def ask(
-        self, job_id: str, job_class: str, run_ms: float, memory: float = 0.1, timeout_ms: int | None = None
+        self,
+        job_id: str,
+        job_class: str,
+        run_ms: float,
+        memory: float = 0.1,
+        timeout_ms: int | None = None,
+        header: bytes = b"",
     ) -> Message | None:
-        """Send one job and wait for its answer until the time that the request states has passed."""
+        """Send one job and wait for its answer until the time that the request states has passed.
+
+        ``header`` is one more line of the request's head, sent as it is.
+        """
         self.busy = True
         limit_ms = timeout_ms or (7_500 if job_class == CLASSES[0] else 25_000)
         body = json.dumps({"run_ms": run_ms, "memory": memory}).encode()
@@ -438,7 +447,8 @@
         )  # fmt: skip
         got = None
         try:
-            writer.write(("\r\n".join(head) + "\r\n\r\n").encode() + body)
+            lines = [line.encode() for line in head] + ([header] if header else [])
+            writer.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
             async with asyncio.timeout(limit_ms / 1000 + 0.5):
                 got = await read_message(reader)
         except (TimeoutError, ConnectionError):
