--- a/tests/surfaces.py
+++ b/tests/surfaces.py
@@ -47,8 +47,8 @@
 from robinhill.record.frames import read as read_recording
 
 from .conftest import MS, Node, sent_to
+from .handover import environment
 from .test_admission import Fleet
-from .test_endings_handover import environment
 
 Json = dict[str, Any]
 
