Never forget the id of an open request, and refuse copies of it

Seen by callers: after some 16,400 requests of bad clients, a copy of an open request's id was accepted in place of a 409. The result of the open request was dropped (its client got 502), the program ended with KeyError in InFlightRequests.remove, and all open requests ended without an answer.

Cause: whether an id is in use was read from the bounded table of recent ids alone, which dropped the oldest id even if its request was still open. Ruled out: load alone (the flood without the copy ends nothing), hand-overs and workers (neither is in play).

Change: an id is in use while its request is in flight; the bounded table holds ids of ended requests alone. The same cause at a hand-over: the predecessor's ids are kept apart until it has exited, and a request whose id is in flight at the successor stays with the predecessor. Callbacks go to the process that has an attempt at the callback's worker.

--- a/robinhill/net/dispatcher/dispatcher.py
+++ b/robinhill/net/dispatcher/dispatcher.py
@@ -30,6 +30,7 @@
     ExecutionStarted,
     FirstAttemptSent,
     ListConfirmed,
+    PredecessorExited,
     ReleaseRequest,
     RequestAccepted,
     SendLeaseChanged,
@@ -132,6 +133,7 @@
             ReleaseRequest: self.handover.release,
             AttemptReleased: self.handover.attempt_released,
             AdoptRequest: self.handover.adopt,
+            PredecessorExited: lambda _: self.in_flight.release_predecessor_ids(),
             EndpointRetired: self._on_endpoint_retired,
         }
         self._performers: dict[type, Callable[[Any], None]] = {
@@ -213,13 +215,14 @@
 
     def _accept(self, message: RequestAccepted) -> None:
         request = message.request
-        if not self.in_flight.record_id(request.id):
+        if self.in_flight.is_known(request.id):
             log.warning("duplicate_request_id", extra={"id": request.id})
             if not message.reply.done():  # the client may have disconnected already
                 message.reply.set_result(protocol.CONFLICT)
             return
-        if message.reply.cancelled():
-            return  # the client has disconnected already
+        if message.reply.cancelled():  # the client has disconnected already
+            self.in_flight.remember(request.id)
+            return
         deadline_us = message.arrived_us + request.time_left_us
         job = self.in_flight.add(request, deadline_us, message.reply).job
         if self.traffic_recorder and message.caller is None:  # otherwise the admission actor has recorded it
--- a/robinhill/net/dispatcher/in_flight.py
+++ b/robinhill/net/dispatcher/in_flight.py
@@ -1,7 +1,7 @@
 """The table of requests in flight: those that still need an answer or have an attempt in flight.
 
-It assigns the numbers by which the decision module refers to requests (``job``), and holds the ids of recent
-requests.
+It assigns the numbers by which the decision module refers to requests (``job``), and decides whether the id
+of a new request is in use. It forgets no id whose request is in flight, however many other requests arrive.
 """
 
 import asyncio
@@ -9,14 +9,14 @@
 from typing import Any
 
 from robinhill import api
-from robinhill.protocol import Answer, JobRequest
+from robinhill.protocol import Answer, JobEvent, JobRequest
 
 Json = dict[str, Any]
 
 # Adopted requests keep the predecessor's numbers. The successor numbers new requests from this far above the
 # predecessor's next number, as the predecessor may still accept requests.
 SUCCESSOR_NUMBER_GAP = 1_000_000
-MAX_RECENT_IDS = 16_384
+MAX_RECENT_IDS = 16_384  # ids of ended requests that are kept
 
 
 @dataclass(slots=True, eq=False)
@@ -58,9 +58,12 @@
     def __init__(self) -> None:
         self.by_number: dict[int, InFlightRequest] = {}
         self.numbers: dict[str, int] = {}  # by request id, the number used by the decision module
-        # Ids of recent requests, oldest first. A new request with one of them is refused, as workers remember
+        # Ids of ended requests, oldest first. A new request with one of them is refused, as workers remember
         # the first request received under an id and reject others with the same id.
         self.recent_ids: dict[str, None] = {}
+        # Ids that the predecessor knew at the hand-over of its state; empty once it has exited. It may still
+        # have the requests of some of them, so that none is forgotten before.
+        self.predecessor_ids: dict[str, None] = {}
         self.next_number = 1
 
     def __len__(self) -> int:
@@ -69,14 +72,19 @@
     def __contains__(self, request_id: str) -> bool:
         return request_id in self.numbers
 
-    def record_id(self, request_id: str) -> bool:
-        """Record the id of a new request; False if a recent request had the same id."""
-        if request_id in self.recent_ids:
-            return False
+    def is_known(self, request_id: str) -> bool:
+        """Whether a new request with this id is refused: another one has it, or had it recently."""
+        return any(request_id in ids for ids in (self.numbers, self.recent_ids, self.predecessor_ids))
+
+    def remember(self, request_id: str) -> None:
+        """Keep the id of a request that is not in flight; above ``MAX_RECENT_IDS``, the oldest is dropped."""
         self.recent_ids[request_id] = None
-        if len(self.recent_ids) > MAX_RECENT_IDS:
+        while len(self.recent_ids) > MAX_RECENT_IDS:
             del self.recent_ids[next(iter(self.recent_ids))]
-        return True
+
+    def known_ids(self) -> list[str]:
+        """All known ids, for a successor; it forgets the first ones first."""
+        return list(self.recent_ids | self.predecessor_ids | dict.fromkeys(self.numbers))
 
     def add(self, request: JobRequest, deadline_us: int, reply: asyncio.Future[Answer]) -> InFlightRequest:
         """Add a new request and assign a number to it."""
@@ -86,9 +94,10 @@
         return in_flight
 
     def adopt(self, in_flight: InFlightRequest) -> None:
-        """Add a request released by another process; it keeps its number."""
+        """Add a request released by another process; it keeps its number. Its id must not be in flight."""
         request_id = in_flight.request.id
-        self.recent_ids[request_id] = None
+        assert request_id not in self.numbers, "two requests in flight have the same id"
+        self.recent_ids.pop(request_id, None)
         self.by_number[in_flight.job] = in_flight
         self.numbers[request_id] = in_flight.job
 
@@ -97,10 +106,18 @@
         in_flight = self.by_number.get(self.numbers.get(request.id, 0))
         return in_flight if in_flight and in_flight.request is request else None
 
+    def expects_callback(self, event: JobEvent) -> bool:
+        """Whether the callback's worker has an attempt in flight of a request with the callback's id."""
+        request = self.by_number.get(self.numbers.get(event.id, 0))
+        return request is not None and any(
+            request.endpoints[attempt] == event.source for attempt in request.attempts_in_flight
+        )
+
     def remove(self, in_flight: InFlightRequest) -> None:
         """Remove a request from the table; its id remains among the recent ones."""
         del self.by_number[in_flight.job]
         del self.numbers[in_flight.request.id]
+        self.remember(in_flight.request.id)
 
     def remove_if_finished(self, in_flight: InFlightRequest) -> None:
         """Remove a request if it needs no answer and has no attempt in flight."""
@@ -108,7 +125,15 @@
         if finished and in_flight.job in self.by_number:
             self.remove(in_flight)
 
-    def import_state(self, recent_ids: list[str], next_number: int) -> None:
-        """Adopt a predecessor's recent ids, and number new requests above those of the predecessor."""
-        self.recent_ids = dict.fromkeys(recent_ids) | self.recent_ids
+    def import_state(self, known_ids: list[str], next_number: int) -> None:
+        """Adopt a predecessor's ids, and number new requests above those of the predecessor."""
+        self.predecessor_ids = dict.fromkeys(known_ids)
         self.next_number = next_number + SUCCESSOR_NUMBER_GAP
+
+    def release_predecessor_ids(self) -> None:
+        """Let the predecessor's ids be forgotten like those of other ended requests, as it has exited."""
+        own_ids = list(self.recent_ids)
+        ended = [request_id for request_id in self.predecessor_ids if request_id not in self.numbers]
+        self.predecessor_ids, self.recent_ids = {}, {}
+        for request_id in (*ended, *own_ids):
+            self.remember(request_id)
--- a/robinhill/net/dispatcher/messages.py
+++ b/robinhill/net/dispatcher/messages.py
@@ -139,15 +139,24 @@
 
 @dataclass(slots=True, frozen=True)
 class AdoptRequest:
-    """Adopt a request that another process has released; ``reply`` is set to the request's final answer."""
+    """Adopt a request that another process has released; ``reply`` is set to the request's final answer.
+
+    ``adopted`` is set to whether the request is in flight in this process now; False if the table of requests
+    in flight has another request with its id.
+    """
 
     request: JobRequest
     state: Json
     reply: asyncio.Future[Answer]
-    adopted: asyncio.Event  # set once the request is in flight in this process
+    adopted: asyncio.Future[bool]
     released_here: bool = False  # this process itself had released the request; no other process adopted it
 
 
+@dataclass(slots=True, frozen=True)
+class PredecessorExited:
+    """The predecessor process has exited, so that it releases no further requests."""
+
+
 # From the dispatcher itself
 
 
@@ -170,6 +179,7 @@
     | SendLeaseChanged
     | ReleaseRequest
     | AdoptRequest
+    | PredecessorExited
     | TimerDue
     | JobEvent
     | EndpointReport
--- a/robinhill/net/dispatcher/request_handover.py
+++ b/robinhill/net/dispatcher/request_handover.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Any, TypedDict
 
@@ -21,6 +22,8 @@
 from robinhill.placement import exported_state
 from robinhill.placement.exported_format import ExportedJob, ExportedState
 
+log = logging.getLogger(__name__)
+
 Json = dict[str, Any]
 
 
@@ -50,7 +53,7 @@
     """The exported state of the dispatcher, which the successor needs before it adopts any request."""
 
     module: ExportedState  # the state of the decision module without its jobs
-    seen: list[str]  # recent request ids
+    seen: list[str]  # ids of requests in flight and of recent ones
     held_out: list[str]  # disabled workers
     # By worker, start and end (us) of its time out of use; the end is 0 while it is still out of use.
     outages: dict[str, list[int]]
@@ -154,7 +157,15 @@
         }
 
     def adopt(self, message: AdoptRequest) -> None:
-        """Adopt a released request: its attempt in flight, timers, and state in the decision module."""
+        """Adopt a released request: its attempt in flight, timers, and state in the decision module.
+
+        A request whose id is in flight here is left to the other process: each process may have accepted a
+        request with the same id before the two shared their ids.
+        """
+        if message.request.id in self.in_flight:
+            log.debug("adoption_refused", extra={"id": message.request.id})
+            message.adopted.set_result(False)
+            return
         state, now_us = message.state, self.clock.now_us()
         request = InFlightRequest(state["job"], message.request, state["deadline_us"], message.reply)
         request.endpoints = state["endpoints"]
@@ -170,7 +181,7 @@
             self.timers.set(max(0, due_us - now_us), tag)
         actions = exported_state.import_job(self.balancer, now_us, state["module"], message.released_here)
         self.perform(actions)
-        message.adopted.set()
+        message.adopted.set_result(True)
 
     def _resume_attempt(self, request: InFlightRequest, attempt: Json, destination: Json) -> None:
         instance_id, number = request.endpoints[-1], len(request.endpoints) - 1
@@ -191,7 +202,7 @@
     """Export the dispatcher's state, from which a successor makes the same decisions as this process."""
     return {
         "module": exported_state.export_state(balancer),
-        "seen": list(in_flight.recent_ids),
+        "seen": in_flight.known_ids(),
         "held_out": sorted(restrictions.disabled),
         "outages": {
             instance_id: [outage.since_us, outage.until_us]
--- a/robinhill/net/handover/handover.py
+++ b/robinhill/net/handover/handover.py
@@ -49,6 +49,9 @@
     def set_superseded(self, superseded: bool) -> None:
         """Leave new connections to a successor (True), or accept connections in this process (False)."""
 
+    def record_predecessor_exit(self) -> None:
+        """Note that the predecessor has exited: it hands over no further requests."""
+
     async def apply_operator_call(self, call: str, body: Json) -> bool:
         """Apply an operator's call that the other process received. Returns whether it succeeded."""
 
@@ -130,6 +133,7 @@
         await link.lost.wait()
         log.info("predecessor_exited")
         self.predecessor = None
+        self.delegate.record_predecessor_exit()
         self.delegate.set_superseded(self._successor_serves)
 
     # As the predecessor
--- a/robinhill/net/request_transfer.py
+++ b/robinhill/net/request_transfer.py
@@ -92,11 +92,11 @@
         if self.admission and "waiting" in state[ADMISSION_KEY]:
             self.admission.adopt(request, state[ADMISSION_KEY], reply, False)
             return
-        adopted = asyncio.Event()
+        adopted: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         # This process's timers for the request were not cancelled by the release, so none are set again.
         without_timers = state | {"timers": []}
         self.dispatcher.tell(AdoptRequest(request, without_timers, reply, adopted, released_here=True))
-        await adopted.wait()
+        await adopted
 
     # From the other process
 
@@ -104,7 +104,7 @@
         """Continue a request of the other process and its client's connection.
 
         This call owns ``fd``, the connection's descriptor. Returns False, and the request stays with the
-        other process, if this process is shutting down.
+        other process, if this process is shutting down or has another request with the same id in flight.
         """
         if inbound.shutting_down:
             os.close(fd)
@@ -120,9 +120,12 @@
                 # have: the request is dispatched at once.
                 self.dispatcher.tell(RequestAccepted(request, waiting["arrived_us"], reply))
         else:
-            adopted = asyncio.Event()
+            adopted: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
             self.dispatcher.tell(AdoptRequest(request, body, reply, adopted))
-            await adopted.wait()
+            if not await adopted:
+                os.close(fd)
+                reply.cancel()  # admission control, if it tracks the request, forgets it
+                return False
         await inbound.adopt(request, reply, fd)
         return True
 
@@ -132,11 +135,12 @@
         """Deliver a worker's call to the process that owns the call's request.
 
         Returns once the call is in the mailbox of this process's dispatcher, or the other process has
-        accepted it. A call whose request is in neither process is dropped.
+        accepted it. A call whose request is in neither process is dropped. If each process has a request with
+        the call's id, the call belongs to the one with an attempt at the call's worker.
         """
         await self._wait_for_transit(event.id)
         if (
-            event.id not in self.dispatcher.in_flight
+            not self.dispatcher.in_flight.expects_callback(event)
             and self.handover
             and await self.handover.forward_worker_event(protocol.encode_job_event(event))
         ):
@@ -148,11 +152,11 @@
     async def accept_worker_event(self, body: Json) -> bool:
         """Process a worker's call that the other process has forwarded.
 
-        Returns False if this process does not have the call's request.
+        Returns False if this process has no attempt of the call's request at the call's worker.
         """
         event = protocol.decode_job_event_object(body)
         await self._wait_for_transit(event.id)
-        if event.id not in self.dispatcher.in_flight:
+        if not self.dispatcher.in_flight.expects_callback(event):
             return False
         self.dispatcher.tell(event)
         return True
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -26,7 +26,7 @@
 from robinhill.net.discovery.catch_up import CatchUp
 from robinhill.net.discovery.list_watcher import ChangeAddress, EndpointListWatcher
 from robinhill.net.dispatcher.dispatcher import Dispatcher
-from robinhill.net.dispatcher.messages import SetWorkerDisabled
+from robinhill.net.dispatcher.messages import PredecessorExited, SetWorkerDisabled
 from robinhill.net.dispatcher.traffic_recorder import TrafficRecorder
 from robinhill.net.handover.handover import Handover
 from robinhill.net.handover.messages import EndpointListExport, QuestionName, StateExport
@@ -407,6 +407,10 @@
         if superseded:
             self.dispatcher.table.close_idle_connections()
 
+    def record_predecessor_exit(self) -> None:
+        """Let the predecessor's request ids be forgotten like those of other ended requests."""
+        self.dispatcher.tell(PredecessorExited())
+
     async def apply_operator_call(self, call: str, body: Json) -> bool:
         """Apply an operator's call that the other process has received. Returns whether it succeeded."""
         return (await self._apply_here(call, body, True)).status == 200
--- a/tests/test_endings_workers.py
+++ b/tests/test_endings_workers.py
@@ -660,7 +660,9 @@
         exported = await released
         reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
         new.update_list(worker, Lifecycle.REMOVED)
-        new.dispatcher.receive(AdoptRequest(request, exported, reply, asyncio.Event()))
+        adopted: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        new.dispatcher.receive(AdoptRequest(request, exported, reply, adopted))
+        assert adopted.result()
         endpoint = new.endpoint
         await wait_until(lambda: "j1" in endpoint.attempts and not new.dispatcher._scheduled)
         new.dispatcher.tell(JobEvent("j1", "s-1", JobState.DONE, 0.0, "result"))
