Refuse an endpoint list with numbers that no process can be sent

Found on the path of the fault before: cell of a list entry was any number, and above 64 bits the list could not be encoded for a successor, so that the next replacement ended the running process. A startedAtMs above 1.8e305 raised OverflowError, which the watch doesn't expect. Both are limited to 2^53 now; beyond it the list is malformed (watch_lost), as with other bad fields. The tests (test_endings_text.py, six cases) failed before.

--- a/robinhill/protocol.py
+++ b/robinhill/protocol.py
@@ -18,6 +18,7 @@
 from yarl import URL
 
 MAX_BODY_BYTES = 64 * 1024
+MAX_JSON_INTEGER = 2**53  # JSON readers round larger ones; above 64 bits, no process can be sent one
 MAX_COST_US = 3_600_000_000  # one hour; limits the effect of a client's absurd estimate on sums of estimates
 
 REQUEST_ID = "X-Request-ID"
@@ -424,8 +425,8 @@
         lifecycle = Lifecycle(data.get("lifecycle"))
     except ValueError:
         raise MalformedError(f"unknown lifecycle state {str(data.get('lifecycle'))[:32]!r}") from None
-    started_us = int(_number(data.get("startedAtMs", 0), "startedAtMs") * 1000)
-    cell = int(_number(data.get("cell", 0), "cell"))
+    started_us = int(_bounded_number(data.get("startedAtMs", 0), "startedAtMs") * 1000)
+    cell = int(_bounded_number(data.get("cell", 0), "cell"))
     weight = _number(data.get("weight", 1.0), "weight")
     return ListedEndpoint(instance_id, host_port, zone, machine_type, cell, lifecycle, weight, started_us)
 
@@ -448,6 +449,13 @@
     return value
 
 
+def _bounded_number(value: object, name: str) -> float:
+    number = _number(value, name)
+    if abs(number) > MAX_JSON_INTEGER:
+        raise MalformedError(f"field {name} must be between -2**53 and 2**53, got {number:.3g}")
+    return number
+
+
 def _number(value: object, name: str) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
         raise MalformedError(f"field {name} must be a finite number")
--- a/tests/test_endings_text.py
+++ b/tests/test_endings_text.py
@@ -128,6 +128,15 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("name", ["cell", "startedAtMs"])
+@pytest.mark.parametrize("number", [2**53 + 1, -1e300, 1e308])
+def test_list_with_a_number_that_cannot_be_handed_over_is_malformed(number: float, name: str) -> None:
+    """A successor asks for the list; encoding such an entry for it ended the running process."""
+    entry = {"instanceId": "s-1", "hostPort": "h:1", "zone": "a", "machineType": "b", "lifecycle": "active"}
+    with pytest.raises(protocol.MalformedError, match=name):
+        protocol.decode_listed_endpoint(entry | {name: number})
+
+
 @pytest.mark.parametrize("text, valid", [("", True), ("Soci\u00e9t\u00e9", True), ("Soci\udce9", False)])
 def test_text_with_a_surrogate_is_not_valid(text: str, valid: bool) -> None:
     assert protocol.is_valid_text(text) is valid
