Never drop the deduplication window of an idempotency key before its end

Change: windows are dropped a minute after their end, and not before; the minute is for repeats that arrived in time and are handled later. Their number is limited by the keyed jobs that workers accept within memory_us. Before, ended windows stayed until the table was full, so the table is smaller in service.

--- a/robinhill/placement/idempotency.py
+++ b/robinhill/placement/idempotency.py
@@ -10,7 +10,8 @@
 
 from robinhill.placement.records import AttemptKey
 
-MAX_KEYS = 16_384  # about 3 MB; enough for the keys of several minutes under high load
+# How long a window is kept after its end: a repeat that arrived before the end may be handled later.
+CLOSED_WINDOW_RETENTION_US = 60_000_000
 
 ClassKey = tuple[int, str]  # number of the class, idempotency key
 
@@ -28,7 +29,12 @@
 
 @dataclass(slots=True)
 class IdempotencyKeys:
-    """Holds the deduplication windows of keys sent to workers; above ``MAX_KEYS``, the oldest is evicted."""
+    """Holds the deduplication windows of keys sent to workers.
+
+    No window is dropped before its end: a repeat would be sent to workers that run the job again. Their
+    number is limited by the keyed jobs that workers accept within ``JobClass.memory_us``; one takes some 200
+    bytes.
+    """
 
     _windows: dict[ClassKey, DedupWindow] = field(default_factory=dict)
     _in_flight: dict[AttemptKey, ClassKey] = field(default_factory=dict)
@@ -42,10 +48,17 @@
         """Open a window for the key of an attempt being sent, unless an earlier one is still open."""
         if self.dedup_window(now_us, *key) is not None:
             return
-        self._windows.pop(key, None)  # the new window becomes the last to be evicted
+        self._drop_closed(now_us)
+        self._windows.pop(key, None)  # the new window becomes the last one
         self._windows[key], self._in_flight[attempt] = window, key
-        if len(self._windows) > MAX_KEYS:
-            del self._windows[next(iter(self._windows))]
+
+    def _drop_closed(self, now_us: int) -> None:
+        """Drop the oldest windows up to the first one that is to be kept."""
+        while self._windows:
+            oldest, window = next(iter(self._windows.items()))
+            if now_us < window.until_us + CLOSED_WINDOW_RETENTION_US:
+                return
+            del self._windows[oldest]
 
     def record_end(self, attempt: AttemptKey, never_ran: bool) -> None:
         """Record the end of an attempt; if it never ran, the window that it opened is closed."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,7 +9,7 @@
 import pytest
 
 from robinhill import api
-from robinhill.placement.idempotency import MAX_KEYS, DedupWindow, IdempotencyKeys
+from robinhill.placement.idempotency import CLOSED_WINDOW_RETENTION_US, DedupWindow, IdempotencyKeys
 
 from .conftest import MS, Node, S, klass, of_type, sent_to, settings
 from .fleet import START, simulate_fleet
@@ -175,11 +175,24 @@
     known.record_send(200, (2, 0), name, DedupWindow(4, 300))
     known.record_end((2, 0), never_ran=True)
     assert known.dedup_window(201, *name) is None and known.dedup_window(201, 1, "k") is None
-    for number in range(MAX_KEYS + 1):
-        known.record_send(0, (number, 0), (0, str(number)), DedupWindow(1, 1000))
-    assert known.dedup_window(1, 0, "0") is None and known.dedup_window(1, 0, str(MAX_KEYS)) == DedupWindow(
-        1, 1000
-    )
+
+
+def test_no_dedup_window_is_dropped_before_its_end_however_many_keys_follow() -> None:
+    """Above 16,384 keys the oldest window was dropped; a repeat went to workers that ran the job again."""
+    known, count = IdempotencyKeys(), 40_000
+    for number in range(count):
+        known.record_send(number, (number, 0), (0, str(number)), DedupWindow(1, count))
+    assert all(known.dedup_window(count - 1, 0, str(number)) for number in range(count))
+
+
+def test_dedup_windows_are_dropped_some_time_after_their_end() -> None:
+    known, later = IdempotencyKeys(), 100 + CLOSED_WINDOW_RETENTION_US
+    for number in range(10):
+        known.record_send(0, (number, 0), (0, str(number)), DedupWindow(1, 100))
+    known.record_send(later - 1, (10, 0), (0, "10"), DedupWindow(1, later))
+    assert known.dedup_window(99, 0, "0"), "a repeat that arrived in time may be handled late"
+    known.record_send(later, (11, 0), (0, "11"), DedupWindow(1, 2 * later))
+    assert [known.dedup_window(99, 0, key) is None for key in ("0", "9", "10")] == [True, True, False]
 
 
 # Where workers may answer 'full' for a job they have begun
