Keep with the request what a worker has returned, in place of a bounded table

The same cause as for ids of open requests, found by reading: each endpoint remembered the last 4,096 callbacks that had ended an attempt, and dropped the oldest though its request was still open. A repeated 'returned' then counted as proof that a later attempt at the same worker never ran, and the job was sent a third time beside it.

Change: the request's entry holds the workers that have returned it (it had to, for a hand-over), and an attempt is told of it at its start. The table and the message RequestReturned are gone; the exported key 'returned' stays and now has callbacks alone, not 503 answers.

Also: the rig of endpoint tests names its arguments.

--- a/robinhill/net/dispatcher/dispatcher.py
+++ b/robinhill/net/dispatcher/dispatcher.py
@@ -313,6 +313,7 @@
                 request.deadline_us,
                 self._write_deadline_us(request),
                 lambda: request.wanted,
+                returned_before=action.address in request.returned_by,
             )
         )
 
@@ -387,7 +388,7 @@
         worker_full = outcome is api.Outcome.FULL
         never_ran = outcome.never_ran and not (worker_full and self.config.settings.full_may_have_run)
         self.idempotency_keys.record_end((ended.job, ended.attempt), never_ran)
-        if worker_full:
+        if ended.returned:
             request.returned_by.append(instance_id)
 
     def _on_job_event(self, event: JobEvent) -> None:
--- a/robinhill/net/dispatcher/in_flight.py
+++ b/robinhill/net/dispatcher/in_flight.py
@@ -34,7 +34,7 @@
     # Instance id, outcome and duration of each attempt that has ended, for the log.
     attempt_summaries: list[str] = field(default_factory=list)
     last_outcome: api.Outcome | None = None  # outcome of the last attempt that ended in this process
-    returned_by: list[str] = field(default_factory=list)  # workers that were full and returned the request
+    returned_by: list[str] = field(default_factory=list)  # workers that returned it by a callback
     release_reply: asyncio.Future[Json | None] | None = None  # None: no release to another process under way
 
     @property
--- a/robinhill/net/dispatcher/request_handover.py
+++ b/robinhill/net/dispatcher/request_handover.py
@@ -18,7 +18,7 @@
 from robinhill.net.dispatcher.in_flight import InFlightRequest, InFlightRequests
 from robinhill.net.dispatcher.messages import AdoptRequest, ReleaseRequest
 from robinhill.net.dispatcher.worker_restrictions import OutOfUse, WorkerRestrictions
-from robinhill.net.workers.messages import AttemptReleased, ReleaseAttempt, RequestReturned, ResumeAttempt
+from robinhill.net.workers.messages import AttemptReleased, ReleaseAttempt, ResumeAttempt
 from robinhill.placement import exported_state
 from robinhill.placement.exported_format import ExportedJob, ExportedState
 
@@ -42,7 +42,7 @@
     deadline_us: int
     endpoints: list[str]  # by attempt, the instance id of its worker
     endings: list[str]  # summaries of ended attempts, for the log
-    returned: list[str]  # workers that were full and returned the request
+    returned: list[str]  # workers that returned the request by a callback
     attempt: AttemptState | None  # None: no attempt in flight
     destination: Json | None  # the endpoint list's entry of the worker with the attempt in flight
     module: ExportedJob  # the job's state in the decision module
@@ -174,9 +174,6 @@
         self.in_flight.adopt(request)
         if attempt := state["attempt"]:
             self._resume_attempt(request, attempt, state["destination"])
-        for instance_id in request.returned_by:
-            if endpoint := self.table.endpoints.get(instance_id):
-                endpoint.tell(RequestReturned(message.request.id))
         for due_us, tag in state["timers"]:
             self.timers.set(max(0, due_us - now_us), tag)
         actions = exported_state.import_job(self.balancer, now_us, state["module"], message.released_here)
@@ -192,7 +189,15 @@
             endpoint = self.table.open_removed(removed)
         until_us, sent_us = attempt["until_us"], attempt["sent_us"]
         endpoint.tell(
-            ResumeAttempt(request.job, number, request.request, until_us, request.deadline_us, sent_us)
+            ResumeAttempt(
+                request.job,
+                number,
+                request.request,
+                until_us,
+                request.deadline_us,
+                sent_us,
+                returned_before=instance_id in request.returned_by,
+            )
         )
 
 
--- a/robinhill/net/workers/endpoint.py
+++ b/robinhill/net/workers/endpoint.py
@@ -31,7 +31,6 @@
     EndpointRetired,
     HealthCheckEnded,
     ReleaseAttempt,
-    RequestReturned,
     ResumeAttempt,
     StartAttempt,
 )
@@ -43,7 +42,6 @@
 # Share of the worker's keep-alive time after which this scheduler closes an idle connection. It is below 1 so
 # that no request is sent on a connection that the worker is about to close.
 MAX_IDLE_SHARE = 0.6
-MAX_REMEMBERED_ENDINGS = 4096  # maximum size of `Endpoint.ending_callbacks`; the oldest are removed first
 # Outcome of an attempt whose worker reports by callback that the job has ended without a result.
 _OUTCOMES = {JobState.FAILED: Outcome.ERROR, JobState.RETURNED: Outcome.FULL, JobState.LOST: Outcome.RESET}
 
@@ -76,7 +74,6 @@
     | AbandonUnwritten
     | ReleaseAttempt
     | ResumeAttempt
-    | RequestReturned
     | ListedEndpoint
     | JobEvent
     | CheckHealth
@@ -124,9 +121,6 @@
             destination.instance_id, destination.host_port, connect_timeout_s, max_idle_s, metrics
         )
         self.attempts: dict[str, WorkerAttempt] = {}  # attempts that have not ended, by request id
-        # (request id, state) of the callbacks that ended an attempt at this worker. A later callback with the
-        # same pair may be a retransmission of the earlier callback, and not concern a later attempt.
-        self.ending_callbacks: dict[tuple[str, JobState], None] = {}
         self.calls: set[asyncio.Task[None]] = set()  # running cancels and health checks
         self._handlers: dict[type, Callable[[Any], None]] = {
             StartAttempt: self._start_attempt,
@@ -135,7 +129,6 @@
             AbandonUnwritten: self._abandon_unwritten,
             ReleaseAttempt: self._release_attempt,
             ResumeAttempt: self._resume_attempt,
-            RequestReturned: lambda message: self._remember_ending(message.request_id, JobState.RETURNED),
             ListedEndpoint: self._on_listed,
             CheckHealth: self._on_check_health,
             CloseIdleConnections: lambda _: self._close_idle_connections(),
@@ -213,6 +206,7 @@
             sent_us=self.clock.now_us(),
             write_until_us=message.write_until_us,
             client_waiting=message.client_waiting,
+            returned_before=message.returned_before,
         )
         self.attempts[request.id] = attempt
         self._set_timer(attempt)
@@ -227,8 +221,13 @@
         if outcome := await self.client.submit(attempt, self):
             self.tell(_AttemptFinished(attempt, outcome))
 
-    def _end(self, attempt: WorkerAttempt, outcome: Outcome, result: str | None = None) -> None:
-        """End the attempt and report its outcome, unless the attempt has already ended."""
+    def _end(
+        self, attempt: WorkerAttempt, outcome: Outcome, result: str | None = None, returned: bool = False
+    ) -> None:
+        """End the attempt and report its outcome, unless the attempt has already ended.
+
+        ``returned``: the worker has returned the job by a callback.
+        """
         if attempt.ended:
             return
         attempt.ended = True
@@ -244,7 +243,7 @@
         if self.attempts.get(attempt.request.id) is attempt:
             del self.attempts[attempt.request.id]
         took_us = self.clock.now_us() - attempt.sent_us
-        self.report(AttemptEnded(attempt.job, attempt.number, outcome, took_us, result))
+        self.report(AttemptEnded(attempt.job, attempt.number, outcome, took_us, result, returned))
         self._retire_if_removed()
 
     def _on_job_event(self, event: JobEvent) -> None:
@@ -258,19 +257,12 @@
         elif event.state is JobState.DONE:
             self._end(attempt, Outcome.COMPLETED, event.result)
         else:
-            outcome = _OUTCOMES[event.state]
-            # If a callback with the same state has ended an earlier attempt of this request, the present
-            # callback may be a retransmission of the earlier callback. It then does not prove that the
-            # present attempt never ran.
-            if outcome.never_ran and (event.id, event.state) in self.ending_callbacks:
+            outcome, returned = _OUTCOMES[event.state], event.state is JobState.RETURNED
+            # If the worker has returned an earlier attempt of this request, the present callback may be a
+            # retransmission of the earlier one. It then does not prove that the present attempt never ran.
+            if returned and attempt.returned_before:
                 outcome = Outcome.RESET
-            self._remember_ending(event.id, event.state)
-            self._end(attempt, outcome)
-
-    def _remember_ending(self, request_id: str, state: JobState) -> None:
-        self.ending_callbacks[request_id, state] = None
-        if len(self.ending_callbacks) > MAX_REMEMBERED_ENDINGS:
-            del self.ending_callbacks[next(iter(self.ending_callbacks))]
+            self._end(attempt, outcome, returned=returned)
 
     # Timeouts and cancels
 
@@ -365,6 +357,7 @@
                 until_us=attempt.until_us,
                 deadline_us=attempt.deadline_us,
                 sent_us=attempt.sent_us,
+                returned_before=attempt.returned_before,
             )
         self.report(AttemptReleased(message.job, released))
         self._retire_if_removed()
@@ -378,6 +371,7 @@
             deadline_us=message.deadline_us,
             sent_us=message.sent_us,
             phase=Phase.ACCEPTED,
+            returned_before=message.returned_before,
         )
         self.attempts[message.request.id] = attempt
         self._set_timer(attempt)
--- a/tests/test_endings_ids.py
+++ b/tests/test_endings_ids.py
@@ -155,6 +155,30 @@
     asyncio.run(scenario())
 
 
+def test_repeated_callback_proves_nothing_whatever_the_worker_returned_in_between(tmp_path: Path) -> None:
+    """Each worker's table of callbacks dropped the oldest of 4,096, though its request was still open.
+
+    A repeated `returned` then counted as proof that the running attempt never ran, and the job ran twice.
+    """
+
+    async def scenario() -> None:
+        async with environment(tmp_path) as env:
+            process = env.scheduler()
+            await process.start()
+            client = await env.run_job(process, "j1")
+            assert await env.event("j1", "returned") == 204
+            (await env.next_attempt()).accept()
+            assert await env.event("j1", "started") == 204
+            other = await env.client()
+            other.send("j2", "member-lookup")
+            (await env.next_attempt()).accept()
+            assert await env.event("j2", "returned") == 204
+            assert await env.event("j1", "returned") == 204
+            assert (await client.answer())[0] == 502
+
+    asyncio.run(scenario())
+
+
 async def disable(process: Scheduler, worker: str) -> None:
     """Make one of the two processes send nothing to a worker."""
     reply: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
--- a/tests/test_endings_workers.py
+++ b/tests/test_endings_workers.py
@@ -147,14 +147,25 @@
         self.endpoint.start()
         self.client_waiting = True
 
-    def dispatch(self, name: str, until_us: int = CLIENT_TIMEOUT_US, **changes: int) -> None:
+    def dispatch(
+        self,
+        name: str,
+        until_us: int = CLIENT_TIMEOUT_US,
+        deadline_us: int = CLIENT_TIMEOUT_US,
+        write_until_us: int = CLIENT_TIMEOUT_US,
+    ) -> None:
+        """Start an attempt; the limits are times from now."""
         now = self.clock.now_us()
-        limits = {"deadline_us": CLIENT_TIMEOUT_US, "write_until_us": CLIENT_TIMEOUT_US} | changes
-        limits = {key: now + value for key, value in limits.items()}
-        client_waiting: Callable[[], bool] = lambda: self.client_waiting  # noqa: E731
-        self.endpoint.tell(
-            StartAttempt(int(name[1:]), 0, job(name), now + until_us, client_waiting=client_waiting, **limits)
+        attempt = StartAttempt(
+            job=int(name[1:]),
+            attempt=0,
+            request=job(name),
+            until_us=now + until_us,
+            deadline_us=now + deadline_us,
+            write_until_us=now + write_until_us,
+            client_waiting=lambda: self.client_waiting,
         )
+        self.endpoint.tell(attempt)
 
     async def ended_attempt(self) -> tuple[int, Outcome]:
         report = await self.reports.get()
