Refuse a copy of a queued request at admission control, not after it

With a copy in a shorter queue than that of the request that came first, the copy was admitted, and the first request got 409 from the dispatcher.

Change: a request with the id of one that this actor tracks gets 409 on arrival. Two of the three tests of test_admission_actor.py failed before.

--- a/robinhill/net/dispatcher/admission.py
+++ b/robinhill/net/dispatcher/admission.py
@@ -165,8 +165,14 @@
         if accepted.caller is None:
             self.admit(accepted)
             return
-        number = self._track(accepted, accepted.caller)
         request = accepted.request
+        if request.id in self._numbers and not already_accepted:
+            # The queues of tenants may admit a copy before the request with this id that came first.
+            log.warning("duplicate_request_id", extra={"id": request.id})
+            if not accepted.reply.done():  # the client may have disconnected already
+                accepted.reply.set_result(protocol.CONFLICT)
+            return
+        number = self._track(accepted, accepted.caller)
         if self.traffic_recorder and not already_accepted:
             self.traffic_recorder.record_arrival(request, accepted.arrived_us, accepted.caller.name)
         admission_request = AdmissionRequest(
