Let a successor follow its predecessor's endpoint list until discovery answers

Cause: the list was handed over once, before the successor served; what the old process was told afterwards stayed there. Ruled out: the end of the lease, which is handed over with its times and tested.

Change: until discovery has answered it, the successor asks for the old process's list and lease four times a second, by the question that it asks at its start, and applies them. A malformed exported list no longer ends its start.

--- a/robinhill/net/dispatcher/dispatcher.py
+++ b/robinhill/net/dispatcher/dispatcher.py
@@ -31,6 +31,7 @@
     FirstAttemptSent,
     ListConfirmed,
     PredecessorExited,
+    PredecessorListReceived,
     ReleaseRequest,
     RequestAccepted,
     SendLeaseChanged,
@@ -61,7 +62,7 @@
     StartAttempt,
 )
 from robinhill.placement import idempotency
-from robinhill.placement.list_lease import ListLease
+from robinhill.placement.list_lease import ListLease, ListOrigin
 from robinhill.protocol import DONE, Answer, EndpointList, JobEvent, JobRequest, Lifecycle, ListedEndpoint
 
 log = logging.getLogger(__name__)
@@ -133,6 +134,7 @@
             ReleaseRequest: self.handover.release,
             AttemptReleased: self.handover.attempt_released,
             AdoptRequest: self.handover.adopt,
+            PredecessorListReceived: self._on_predecessor_list,
             PredecessorExited: lambda _: self.in_flight.release_predecessor_ids(),
             EndpointRetired: self._on_endpoint_retired,
         }
@@ -502,6 +504,15 @@
         if self.on_list_changed:
             self.on_list_changed()
 
+    def _on_predecessor_list(self, message: PredecessorListReceived) -> None:
+        """Apply what the predecessor has been notified of, unless discovery has answered this process."""
+        if self.list_lease is None or self.list_lease.origin is not ListOrigin.PREDECESSOR:
+            return
+        if message.endpoint_list:
+            self._on_list(EndpointListReceived(message.endpoint_list, cached=True))
+        self.list_lease.inherit(message.version, message.confirmed_us, message.until_us)
+        self._check_list_lease()
+
     def _renew_list_lease(
         self, message: ListConfirmed | DiscoveryUnreachable | DiscoveryAddressChanged
     ) -> None:
--- a/robinhill/net/dispatcher/messages.py
+++ b/robinhill/net/dispatcher/messages.py
@@ -152,6 +152,19 @@
     released_here: bool = False  # this process itself had released the request; no other process adopted it
 
 
+@dataclass(slots=True, frozen=True)
+class PredecessorListReceived:
+    """The predecessor's endpoint list, and its lease on it.
+
+    ``endpoint_list`` is None if the list has not changed. For the other fields see `ListLease`.
+    """
+
+    version: int
+    endpoint_list: EndpointList | None
+    confirmed_us: int | None
+    until_us: int
+
+
 @dataclass(slots=True, frozen=True)
 class PredecessorExited:
     """The predecessor process has exited, so that it releases no further requests."""
@@ -179,6 +192,7 @@
     | SendLeaseChanged
     | ReleaseRequest
     | AdoptRequest
+    | PredecessorListReceived
     | PredecessorExited
     | TimerDue
     | JobEvent
--- a/robinhill/net/handover/handover.py
+++ b/robinhill/net/handover/handover.py
@@ -117,6 +117,19 @@
             self.predecessor.close()
             return None
 
+    async def ask_endpoint_list(self) -> Mapping[str, Any] | None:
+        """Ask the predecessor for its endpoint list; None if it has exited.
+
+        Unlike in `ask_predecessor`, the link stays open however long the answer takes: the predecessor may
+        still hand over its requests.
+        """
+        if self.predecessor is None:
+            return None
+        try:
+            return await self.predecessor.ask(QuestionName.ENDPOINT_LIST)
+        except LinkLostError:
+            return None
+
     async def start_serving(self) -> None:
         """Notify the predecessor that this process accepts connections, and publish the hand-over socket.
 
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -26,7 +26,11 @@
 from robinhill.net.discovery.catch_up import CatchUp
 from robinhill.net.discovery.list_watcher import ChangeAddress, EndpointListWatcher
 from robinhill.net.dispatcher.dispatcher import Dispatcher
-from robinhill.net.dispatcher.messages import PredecessorExited, SetWorkerDisabled
+from robinhill.net.dispatcher.messages import (
+    PredecessorExited,
+    PredecessorListReceived,
+    SetWorkerDisabled,
+)
 from robinhill.net.dispatcher.traffic_recorder import TrafficRecorder
 from robinhill.net.handover.handover import Handover
 from robinhill.net.handover.messages import EndpointListExport, QuestionName, StateExport
@@ -34,8 +38,8 @@
 from robinhill.net.operators.server import OperatorCalls, OperatorServer
 from robinhill.net.request_transfer import RequestTransfer
 from robinhill.placement import watch_schedule
-from robinhill.placement.list_lease import ListLease
-from robinhill.protocol import DONE, Answer, JobEvent
+from robinhill.placement.list_lease import ListLease, ListOrigin
+from robinhill.protocol import DONE, Answer, EndpointList, JobEvent
 
 # Optional components are imported only if they are configured: imports lengthen a restart, which is an outage
 # of this scheduler.
@@ -55,6 +59,8 @@
 # How long the start waits for the lease on the endpoint list, which discovery's first answer renews; after
 # this time the process reports that it is ready without the lease.
 MAX_LIST_WAIT_S = 2.9
+# Interval at which a successor asks for its predecessor's endpoint list; below the 0.5 s grace of drains.
+PREDECESSOR_LIST_INTERVAL_S = 0.25
 MAX_START_WAIT_S = 0.9  # how long an operator's call waits until this process has started
 # Options whose change does not require a restart: a reload applies `discovery` and `operator`, and a process
 # uses the others only when it starts.
@@ -194,6 +200,7 @@
             self.inbound.awaiting_endpoint_list = False
         if self.handover:
             await self.handover.start_serving()
+            self.supervisor.spawn(self._follow_predecessor_list(self.handover), "predecessor list")
         self.started.set()
         extra = {"scheduler": self.config.name, "listen": self.config.listen}
         log.info("started", extra=extra | self.list_lease.log_fields(self.clock.now_us()))
@@ -207,8 +214,8 @@
         exported = await handover.ask_predecessor(QuestionName.ENDPOINT_LIST)
         if exported and "clock_anchor_ns" in exported:  # a predecessor of an older version omits this key
             self.clock.adopt_anchor(exported["clock_anchor_ns"])
-        if exported and exported["discovery"] == str(self.config.discovery):
-            known = protocol.decode_endpoint_list(exported["known"])
+        known = self._decode_predecessor_list(exported) if exported else None
+        if exported and known:
             self.list_watcher.version = known.generation
             # A predecessor of an older version omits these keys. Its list may be of any age, so that this
             # process inherits the list without a lease on it.
@@ -225,6 +232,35 @@
                 self.admission.import_state(state["door"])
             self.inbound.drain(state["drained"])
 
+    async def _follow_predecessor_list(self, handover: Handover) -> None:
+        """Apply the predecessor's endpoint list again and again until discovery has answered this process.
+
+        The first call to discovery may wait for seconds, or fail. Meanwhile the predecessor's watch is open,
+        and this process must not use an older list than its predecessor.
+        """
+        while self.list_lease.origin is ListOrigin.PREDECESSOR and handover.predecessor:
+            await asyncio.sleep(PREDECESSOR_LIST_INTERVAL_S)
+            exported = await handover.ask_endpoint_list()
+            if exported is None or exported["discovery"] != str(self.config.discovery):
+                return
+            version = exported["known"]["generation"]
+            changed = version != self.list_lease.version
+            known = self._decode_predecessor_list(exported) if changed else None
+            # Version 0: discovery has a new address and has not answered the predecessor yet.
+            if version and (known or not changed):
+                confirmed_us, until_us = exported.get("list_confirmed_us"), exported.get("list_until_us", 0)
+                self.dispatcher.tell(PredecessorListReceived(version, known, confirmed_us, until_us))
+
+    def _decode_predecessor_list(self, exported: Mapping[str, Any]) -> EndpointList | None:
+        """The list that the predecessor has exported; None if it is malformed or of another discovery."""
+        if exported["discovery"] != str(self.config.discovery):
+            return None
+        try:
+            return protocol.decode_endpoint_list(exported["known"])
+        except protocol.MalformedError as e:
+            log.warning("predecessor_list_malformed", extra={"why": str(e)})
+            return None
+
     async def _wait_for_list_lease(self) -> None:
         """Wait until the lease on the endpoint list is held or shutdown begins, up to `MAX_LIST_WAIT_S`.
 
--- a/tests/test_endings_handover.py
+++ b/tests/test_endings_handover.py
@@ -19,6 +19,7 @@
 from robinhill.net.clients import connection as client_connection
 from robinhill.net.dispatcher.messages import EndpointListReceived, ReleaseRequest
 from robinhill.net.scheduler import Scheduler
+from robinhill.placement.list_lease import ListOrigin
 from robinhill.protocol import EndpointList, JobEvent, JobState, Lifecycle
 
 from .handover import STEP_TIMEOUT_S, Json, PeerProcess, environment, until, wait_readable
@@ -412,6 +413,39 @@
     asyncio.run(scenario())
 
 
+def test_successor_applies_list_changes_of_its_predecessor_until_discovery_answers(tmp_path: Path) -> None:
+    """The predecessor's watch reports a change, while the successor's first call is unanswered.
+
+    The successor used the list from before the change, and sent to a worker of which the old process had been
+    notified.
+    """
+
+    async def scenario() -> None:
+        async with environment(tmp_path, workers=2) as env:
+            old = env.scheduler()
+            await old.start()
+            env.discovery_answers.clear()
+            relay = await env.relay()
+            new = await relay.take_over()
+            relaying = asyncio.create_task(relay.run())
+            draining = replace(old.dispatcher.table.destinations["w1"], lifecycle=Lifecycle.DRAINING)
+            old.dispatcher.tell(EndpointListReceived(EndpointList(42, False, (draining,)), received_us=1))
+            old.list_watcher.version = 42
+            destinations = new.dispatcher.table.destinations
+            await until(lambda: destinations["w1"].lifecycle is Lifecycle.DRAINING)
+            assert (new.list_lease.version, new.list_lease.origin.value) == (42, "predecessor")
+            assert new.list_lease.until_us == old.list_lease.until_us
+            for number in range(4):
+                (await env.client()).send(f"j{number}", "member-lookup")
+            await env.next_attempt()
+            assert not new.dispatcher.table.endpoints["w1"].attempts
+            env.discovery_answers.set()
+            await until(lambda: new.list_lease.origin == ListOrigin.DISCOVERY)
+            relaying.cancel()
+
+    asyncio.run(scenario())
+
+
 def test_successor_of_a_version_without_list_leases_waits_for_discovery(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
