Close a connection after an answer that ends an attempt, in place of a rest before its reuse

Now a connection is closed after a 500, 503 or 504, and used again after a 202. No copy of such an answer meets another job, however late it comes.

The test of the waiting went with the rest. Two exchanges require the close and expect the next attempt on a new connection.

--- a/robinhill/net/workers/client.py
+++ b/robinhill/net/workers/client.py
@@ -18,7 +18,13 @@
 from robinhill.api import Outcome
 from robinhill.net.metrics import Metrics
 from robinhill.net.workers.attempt import NotWrittenError, Phase, WorkerAttempt
-from robinhill.net.workers.connection import GuardedRequest, WorkerConnector, WriteGuard, current_attempt
+from robinhill.net.workers.connection import (
+    GuardedRequest,
+    WorkerConnection,
+    WorkerConnector,
+    WriteGuard,
+    current_attempt,
+)
 
 log = logging.getLogger(__name__)
 
@@ -100,14 +106,29 @@
                 attempt.phase = Phase.ACCEPTED
                 await _discard_body(response)
             elif response.status in (500, *_REJECTION_STATUSES):
-                async with asyncio.timeout(LINGER_S):
-                    await _discard_body(response)
+                await self._finish_connection(response, connection)
             elif connection is not None:
                 self.record_close("unexpected_answer")
                 # The worker may have received the job; closing the connection makes the worker drop it.
                 connection.close()
         return response
 
+    async def _finish_connection(
+        self, response: ClientResponse, connection: "WorkerConnection | None"
+    ) -> None:
+        """Read the rest of a response that ends an attempt, and close its connection.
+
+        A second copy of the response may come some milliseconds later. On a connection that is used again, it
+        would be taken for the response to the next request, and prove of a job that runs that it never ran.
+        """
+        if connection is not None:
+            connection.force_close()  # aiohttp may release the connection before `_discard_body` returns
+        async with asyncio.timeout(LINGER_S):
+            await _discard_body(response)
+        if connection is not None:
+            self.record_close("refused")
+            connection.close()
+
     def _failed(self, attempt: WorkerAttempt, error: Exception) -> Outcome | None:
         """Log a failed exchange; return its outcome, or None if the worker had already accepted the job."""
         malformed = isinstance(error, _MALFORMED_RESPONSE_ERRORS) or type(error) is TimeoutError
--- a/robinhill/net/workers/connection.py
+++ b/robinhill/net/workers/connection.py
@@ -1,14 +1,11 @@
 """Connections to a worker: they extend aiohttp's with checks against sending a job twice or after its expiry.
 
-A connection is closed if it receives data while no response is expected. It carries the next request only
-some time after its last response: a second copy of that response, which may come some milliseconds late,
-would be taken for the response to the next request. Right before the first byte of an attempt is written, the
-``WriteGuard`` checks again whether the attempt may be sent.
+A connection is closed if it receives data while no response is expected. Right before the first byte of an
+attempt is written, the ``WriteGuard`` checks again whether the attempt may be sent.
 """
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from contextvars import ContextVar
 from functools import partial
@@ -26,9 +23,6 @@
 
 log = logging.getLogger(__name__)
 
-# Time from a response to the next request on its connection; a second copy of the response comes earlier.
-REUSE_DELAY_S = 0.02
-
 
 class WriteGuard(Protocol):
     """Decides right before an attempt is written whether it may be sent, and is notified of the write."""
@@ -110,57 +104,19 @@
 
 
 class WorkerConnector(aiohttp.TCPConnector):
-    """A pool of any number of connections to one worker.
-
-    It reuses only those that are `WorkerConnection.reusable`, and only ``REUSE_DELAY_S`` after their last
-    response. A request waits for the end of that time if a connection is free that no other request waits
-    for; otherwise it opens a new one.
-    """
+    """A pool of any number of connections; it reuses only those that are `WorkerConnection.reusable`."""
 
     def __init__(self, max_idle_s: float, record_close: Callable[[str], None]) -> None:
         super().__init__(limit=0, limit_per_host=0, keepalive_timeout=max_idle_s)
-        self.max_idle_s = max_idle_s
         self._factory = partial(_new_connection, asyncio.get_running_loop(), record_close)
-        self._waiting = 0  # number of requests that wait until a connection may be reused
 
     async def _get(self, key: ConnectionKey, traces: list[Any]) -> Connection | None:
-        while await self._wait_until_reusable(key):
-            connection = await super()._get(key, traces)
-            if connection is None:
-                return None
+        while connection := await super()._get(key, traces):
             if isinstance(connection.protocol, WorkerConnection) and connection.protocol.reusable:
                 return connection
             connection.close()
         return None
 
-    async def _wait_until_reusable(self, key: ConnectionKey) -> bool:
-        """Wait until the connection that has been free for longest may be reused.
-
-        Returns False if there is none, or if as many requests wait already as connections are free. aiohttp
-        would skip a connection that is closed or has been free for too long, and take the one behind it
-        whatever its age; such connections are therefore removed here.
-        """
-        while free := self._conns.get(key):
-            connection, released_s = free[0]  # aiohttp appends a connection when it is released
-            free_for_s = time.monotonic() - released_s
-            if not connection.is_connected() or free_for_s > self.max_idle_s:
-                free.popleft()
-                connection.close()
-            elif free_for_s >= REUSE_DELAY_S:
-                return True
-            elif self._waiting >= len(free):
-                return False
-            else:
-                await self._wait(REUSE_DELAY_S - free_for_s)
-        return False
-
-    async def _wait(self, delay_s: float) -> None:
-        self._waiting += 1
-        try:
-            await asyncio.sleep(delay_s)
-        finally:
-            self._waiting -= 1
-
 
 class GuardedRequest(aiohttp.ClientRequest):
     """A request that checks again, once it has a connection, whether its attempt may be sent.
--- a/tests/test_endings_workers.py
+++ b/tests/test_endings_workers.py
@@ -31,7 +31,6 @@
 )
 from robinhill.net.metrics import Metrics
 from robinhill.net.workers import client
-from robinhill.net.workers import connection as worker_connection
 from robinhill.net.workers.attempt import Phase
 from robinhill.net.workers.endpoint import Endpoint
 from robinhill.net.workers.messages import AttemptEnded, CancelAttempt, EndpointReport, StartAttempt
@@ -44,6 +43,7 @@
 ACCEPTED_RESPONSE = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 NOT_PROCESSED_HEAD = b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\n"
 REJECTED_RESPONSE = NOT_PROCESSED_HEAD + b"Content-Length: 0\r\n\r\n"
+FAILED_RESPONSE = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
 CANCELLED_RESPONSE = b"HTTP/1.1 204 No Content\r\n\r\n"
 
 
@@ -314,13 +314,12 @@
     return int(count)
 
 
-@pytest.mark.parametrize("first", [REJECTED_RESPONSE, ACCEPTED_RESPONSE], ids=["rejected", "accepted"])
-def test_late_second_response_is_no_response_to_the_next_request(
-    first: bytes, monkeypatch: pytest.MonkeyPatch
-) -> None:
+@pytest.mark.parametrize(
+    "first", [REJECTED_RESPONSE, FAILED_RESPONSE, ACCEPTED_RESPONSE], ids=["rejected", "failed", "accepted"]
+)
+def test_late_second_response_is_no_response_to_the_next_request(first: bytes) -> None:
     """The next request follows at once, and the second response comes before it could be answered. It was
     taken for its response: the job counted as never run, was sent again, and ran twice."""
-    monkeypatch.setattr(worker_connection, "REUSE_DELAY_S", 0.3)
 
     async def scenario() -> None:
         async with endpoint_rig() as rig:
@@ -333,7 +332,7 @@
                 rig.send_callback("j1")
             assert (await rig.ended_attempt())[0] == 1
             rig.dispatch("j2")
-            await asyncio.sleep(0.01)  # less than REUSE_DELAY_S
+            await asyncio.sleep(0.01)  # the next request goes out before the second response
             peer.write(REJECTED_RESPONSE)
             new_peer = await rig.worker.accept()
             assert await new_peer.read_request_line() == b"POST /x HTTP/1.1"
@@ -345,60 +344,6 @@
     run_test(scenario())
 
 
-def test_request_waits_for_a_free_connection_and_opens_one_if_another_request_waits(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """The wait costs no connection, unless more requests come at once than connections are free."""
-    monkeypatch.setattr(worker_connection, "REUSE_DELAY_S", 0.3)
-
-    async def scenario() -> None:
-        async with endpoint_rig() as rig:
-            rig.dispatch("j1")
-            peer = await rig.worker.accept()
-            await peer.read_request_line()
-            peer.write(ACCEPTED_RESPONSE)
-            connector: Any = rig.endpoint.client.session.connector
-            await wait_until(lambda: pooled(connector) == 1)
-            rig.dispatch("j2")
-            rig.dispatch("j3")
-            other = await rig.worker.accept()
-            for each in (other, peer):
-                assert await each.read_request_line() == b"POST /x HTTP/1.1"
-
-    run_test(scenario())
-
-
-def test_connection_behind_a_closed_one_is_not_reused_too_early(monkeypatch: pytest.MonkeyPatch) -> None:
-    """aiohttp skips a closed connection and takes the next one, whatever its age."""
-
-    async def scenario() -> None:
-        async with endpoint_rig() as rig:
-            peers = []
-            for name in ("j1", "j2"):
-                rig.dispatch(name)
-                peers.append(await rig.worker.accept())
-                await peers[-1].read_request_line()
-            connector: Any = rig.endpoint.client.session.connector
-            for number, peer in enumerate(peers, 1):
-                peer.write(ACCEPTED_RESPONSE)
-                await wait_until(lambda count=number: pooled(connector) == count)  # type: ignore[misc]
-            first = next(iter(connector._conns.values()))[0][0]
-            peers[0].sock.close()
-            await wait_until(lambda: not first.is_connected())
-            monkeypatch.setattr(worker_connection, "REUSE_DELAY_S", 60.0)
-            rig.dispatch("j3")
-            await wait_until(lambda: connector._waiting == 1)
-            assert pooled(connector) == 1
-            rig.dispatch("j4")
-            assert await (await rig.worker.accept()).read_request_line() == b"POST /x HTTP/1.1"
-
-    run_test(scenario())
-
-
-def pooled(connector: Any) -> int:
-    return sum(len(free) for free in connector._conns.values())
-
-
 def test_second_response_in_the_same_segment_closes_the_connection() -> None:
     async def scenario() -> None:
         async with endpoint_rig() as rig:
