--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -31,6 +31,14 @@
     )
 
 
+def test_intermittent_failure_may_pass_and_no_other_one() -> None:
+    item = Item("tests/test_x.py::test_y")
+    entries = known_red.read(LINE.replace("it stays open", "intermittent: it stays open"))
+    known_red.mark(entries, cast(list[pytest.Item], [item]), whole_suite=True)
+    assert item.marks[0].kwargs["strict"] is False
+    assert not known_red.read(LINE.replace("it stays", "not intermittent: it stays"))[0].intermittent
+
+
 @pytest.mark.parametrize(
     "text",
     [
