Judge repeated returns where they are recorded, and state three things once

- The dispatcher owns what workers have returned, so it judges a repeated 'returned' too.
The flag that went to the endpoint with each attempt, through its start, release and resumption, is gone.
- A copy of an id in use is refused by one function, in the dispatcher and at admission control.
- The predecessor's exported list and lease are read in one place, at the start and while its list is followed.
If it has another discovery, the successor now goes on asking until discovery has answered, and applies nothing.
Two endpoint tests share their end.

--- a/robinhill/net/dispatcher/admission.py
+++ b/robinhill/net/dispatcher/admission.py
@@ -33,6 +33,7 @@
     RequestAnswered,
     Suspend,
 )
+from robinhill.net.dispatcher.in_flight import refuse_duplicate
 from robinhill.net.dispatcher.messages import (
     ClientDisconnected,
     ExecutionStarted,
@@ -168,9 +169,7 @@
         request = accepted.request
         if request.id in self._numbers and not already_accepted:
             # The queues of tenants may admit a copy before the request with this id that came first.
-            log.warning("duplicate_request_id", extra={"id": request.id})
-            if not accepted.reply.done():  # the client may have disconnected already
-                accepted.reply.set_result(protocol.CONFLICT)
+            refuse_duplicate(accepted)
             return
         number = self._track(accepted, accepted.caller)
         if self.traffic_recorder and not already_accepted:
--- a/robinhill/net/dispatcher/dispatcher.py
+++ b/robinhill/net/dispatcher/dispatcher.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from robinhill import api, protocol
@@ -17,7 +18,7 @@
 from robinhill.net.clock import Clock
 from robinhill.net.dispatcher.decision_timers import DecisionTimers
 from robinhill.net.dispatcher.endpoint_table import EndpointTable
-from robinhill.net.dispatcher.in_flight import InFlightRequest, InFlightRequests
+from robinhill.net.dispatcher.in_flight import InFlightRequest, InFlightRequests, refuse_duplicate
 from robinhill.net.dispatcher.messages import (
     DISCOVERY_MESSAGES,
     AdoptRequest,
@@ -218,9 +219,7 @@
     def _accept(self, message: RequestAccepted) -> None:
         request = message.request
         if self.in_flight.is_known(request.id):
-            log.warning("duplicate_request_id", extra={"id": request.id})
-            if not message.reply.done():  # the client may have disconnected already
-                message.reply.set_result(protocol.CONFLICT)
+            refuse_duplicate(message)
             return
         if message.reply.cancelled():  # the client has disconnected already
             self.in_flight.remember(request.id)
@@ -315,7 +314,6 @@
                 request.deadline_us,
                 self._write_deadline_us(request),
                 lambda: request.wanted,
-                returned_before=action.address in request.returned_by,
             )
         )
 
@@ -372,6 +370,10 @@
         if request.release_reply:
             # The attempt has ended, so its endpoint may never answer `ReleaseAttempt`.
             self.handover.abort_release(request)
+        if ended.returned and request.endpoints[ended.attempt] in request.returned_by:
+            # The worker has returned an earlier attempt of this request, and the present callback may be a
+            # retransmission of the earlier one. It does not prove that the present attempt never ran.
+            ended = replace(ended, outcome=api.Outcome.RESET)
         self._record_ending(request, ended)
         if ended.result is not None:
             self._answer(ended.job, protocol.result_answer(ended.result))
--- a/robinhill/net/dispatcher/in_flight.py
+++ b/robinhill/net/dispatcher/in_flight.py
@@ -5,11 +5,15 @@
 """
 
 import asyncio
+import logging
 from dataclasses import dataclass, field
 from typing import Any
 
 from robinhill import api
-from robinhill.protocol import Answer, JobEvent, JobRequest
+from robinhill.net.dispatcher.messages import RequestAccepted
+from robinhill.protocol import CONFLICT, Answer, JobEvent, JobRequest
+
+log = logging.getLogger(__name__)
 
 Json = dict[str, Any]
 
@@ -19,6 +23,13 @@
 MAX_RECENT_IDS = 16_384  # ids of ended requests that are kept
 
 
+def refuse_duplicate(message: RequestAccepted) -> None:
+    """Answer a request whose id is in use with `CONFLICT`."""
+    log.warning("duplicate_request_id", extra={"id": message.request.id})
+    if not message.reply.done():  # the client may have disconnected already
+        message.reply.set_result(CONFLICT)
+
+
 @dataclass(slots=True, eq=False)
 class InFlightRequest:
     """A request that needs an answer or has an attempt in flight."""
@@ -132,8 +143,8 @@
 
     def release_predecessor_ids(self) -> None:
         """Let the predecessor's ids be forgotten like those of other ended requests, as it has exited."""
-        own_ids = list(self.recent_ids)
-        ended = [request_id for request_id in self.predecessor_ids if request_id not in self.numbers]
+        known = self.predecessor_ids | self.recent_ids
         self.predecessor_ids, self.recent_ids = {}, {}
-        for request_id in (*ended, *own_ids):
-            self.remember(request_id)
+        for request_id in known:
+            if request_id not in self.numbers:
+                self.remember(request_id)
--- a/robinhill/net/dispatcher/request_handover.py
+++ b/robinhill/net/dispatcher/request_handover.py
@@ -189,15 +189,7 @@
             endpoint = self.table.open_removed(removed)
         until_us, sent_us = attempt["until_us"], attempt["sent_us"]
         endpoint.tell(
-            ResumeAttempt(
-                request.job,
-                number,
-                request.request,
-                until_us,
-                request.deadline_us,
-                sent_us,
-                returned_before=instance_id in request.returned_by,
-            )
+            ResumeAttempt(request.job, number, request.request, until_us, request.deadline_us, sent_us)
         )
 
 
--- a/robinhill/net/scheduler.py
+++ b/robinhill/net/scheduler.py
@@ -39,7 +39,7 @@
 from robinhill.net.request_transfer import RequestTransfer
 from robinhill.placement import watch_schedule
 from robinhill.placement.list_lease import ListLease, ListOrigin
-from robinhill.protocol import DONE, Answer, EndpointList, JobEvent
+from robinhill.protocol import DONE, Answer, JobEvent
 
 # Optional components are imported only if they are configured: imports lengthen a restart, which is an outage
 # of this scheduler.
@@ -214,14 +214,11 @@
         exported = await handover.ask_predecessor(QuestionName.ENDPOINT_LIST)
         if exported and "clock_anchor_ns" in exported:  # a predecessor of an older version omits this key
             self.clock.adopt_anchor(exported["clock_anchor_ns"])
-        known = self._decode_predecessor_list(exported) if exported else None
-        if exported and known:
-            self.list_watcher.version = known.generation
-            # A predecessor of an older version omits these keys. Its list may be of any age, so that this
-            # process inherits the list without a lease on it.
-            confirmed_us, until_us = exported.get("list_confirmed_us"), exported.get("list_until_us", 0)
-            self.list_lease.inherit(known.generation, confirmed_us, until_us)
-            self.dispatcher.start(known)
+        received = self._decode_predecessor_list(exported) if exported else None
+        if received:
+            self.list_watcher.version = received.version
+            self.list_lease.inherit(received.version, received.confirmed_us, received.until_us)
+            self.dispatcher.start(received.endpoint_list)
         else:
             self.dispatcher.start()
         self.list_watcher.start()
@@ -241,25 +238,32 @@
         while self.list_lease.origin is ListOrigin.PREDECESSOR and handover.predecessor:
             await asyncio.sleep(PREDECESSOR_LIST_INTERVAL_S)
             exported = await handover.ask_endpoint_list()
-            if exported is None or exported["discovery"] != str(self.config.discovery):
+            if exported is None:
                 return
-            version = exported["known"]["generation"]
-            changed = version != self.list_lease.version
-            known = self._decode_predecessor_list(exported) if changed else None
-            # Version 0: discovery has a new address and has not answered the predecessor yet.
-            if version and (known or not changed):
-                confirmed_us, until_us = exported.get("list_confirmed_us"), exported.get("list_until_us", 0)
-                self.dispatcher.tell(PredecessorListReceived(version, known, confirmed_us, until_us))
-
-    def _decode_predecessor_list(self, exported: Mapping[str, Any]) -> EndpointList | None:
-        """The list that the predecessor has exported; None if it is malformed or of another discovery."""
+            received = self._decode_predecessor_list(exported, self.list_lease.version)
+            if received and received.version:  # 0: a new discovery has not answered the predecessor yet
+                self.dispatcher.tell(received)
+
+    def _decode_predecessor_list(
+        self, exported: Mapping[str, Any], known_version: int | None = None
+    ) -> PredecessorListReceived | None:
+        """The list that the predecessor has exported; None if it is malformed or of another discovery.
+
+        If it has the version ``known_version``, only the lease on it is decoded.
+        """
         if exported["discovery"] != str(self.config.discovery):
             return None
+        known = exported["known"]
         try:
-            return protocol.decode_endpoint_list(exported["known"])
+            changed = known["generation"] != known_version
+            endpoint_list = protocol.decode_endpoint_list(known) if changed else None
         except protocol.MalformedError as e:
             log.warning("predecessor_list_malformed", extra={"why": str(e)})
             return None
+        # A predecessor of an older version omits these keys. Its list may be of any age, so that this process
+        # inherits the list without a lease on it.
+        confirmed_us, until_us = exported.get("list_confirmed_us"), exported.get("list_until_us", 0)
+        return PredecessorListReceived(known["generation"], endpoint_list, confirmed_us, until_us)
 
     async def _wait_for_list_lease(self) -> None:
         """Wait until the lease on the endpoint list is held or shutdown begins, up to `MAX_LIST_WAIT_S`.
--- a/robinhill/net/workers/attempt.py
+++ b/robinhill/net/workers/attempt.py
@@ -46,8 +46,6 @@
     timer: asyncio.TimerHandle | None = None  # fires at ``until_us``
     ended: bool = False  # whether the attempt's outcome was reported, or the attempt was released
     cancel_requested: bool = False
-    # Whether the worker has returned an earlier attempt of the request by a callback.
-    returned_before: bool = False
 
     @property
     def active(self) -> bool:
--- a/robinhill/net/workers/client.py
+++ b/robinhill/net/workers/client.py
@@ -113,9 +113,7 @@
                 connection.close()
         return response
 
-    async def _finish_connection(
-        self, response: ClientResponse, connection: "WorkerConnection | None"
-    ) -> None:
+    async def _finish_connection(self, response: ClientResponse, connection: WorkerConnection | None) -> None:
         """Read the rest of a response that ends an attempt, and close its connection.
 
         A second copy of the response may come some milliseconds later. On a connection that is used again, it
--- a/robinhill/net/workers/endpoint.py
+++ b/robinhill/net/workers/endpoint.py
@@ -206,7 +206,6 @@
             sent_us=self.clock.now_us(),
             write_until_us=message.write_until_us,
             client_waiting=message.client_waiting,
-            returned_before=message.returned_before,
         )
         self.attempts[request.id] = attempt
         self._set_timer(attempt)
@@ -257,12 +256,7 @@
         elif event.state is JobState.DONE:
             self._end(attempt, Outcome.COMPLETED, event.result)
         else:
-            outcome, returned = _OUTCOMES[event.state], event.state is JobState.RETURNED
-            # If the worker has returned an earlier attempt of this request, the present callback may be a
-            # retransmission of the earlier one. It then does not prove that the present attempt never ran.
-            if returned and attempt.returned_before:
-                outcome = Outcome.RESET
-            self._end(attempt, outcome, returned=returned)
+            self._end(attempt, _OUTCOMES[event.state], returned=event.state is JobState.RETURNED)
 
     # Timeouts and cancels
 
@@ -357,7 +351,6 @@
                 until_us=attempt.until_us,
                 deadline_us=attempt.deadline_us,
                 sent_us=attempt.sent_us,
-                returned_before=attempt.returned_before,
             )
         self.report(AttemptReleased(message.job, released))
         self._retire_if_removed()
@@ -371,7 +364,6 @@
             deadline_us=message.deadline_us,
             sent_us=message.sent_us,
             phase=Phase.ACCEPTED,
-            returned_before=message.returned_before,
         )
         self.attempts[message.request.id] = attempt
         self._set_timer(attempt)
--- a/robinhill/net/workers/messages.py
+++ b/robinhill/net/workers/messages.py
@@ -20,7 +20,7 @@
     At ``until_us`` the attempt expires and is cancelled at the worker; at ``deadline_us``, the client's
     deadline, the attempt ends even if the cancel is unanswered. The request's first byte is written only
     before ``write_until_us``, and only while ``client_waiting`` returns True; it returns False once the
-    client has disconnected or was answered. ``returned_before``: see `AttemptEnded`.
+    client has disconnected or was answered.
     """
 
     job: int
@@ -30,7 +30,6 @@
     deadline_us: int
     write_until_us: int
     client_waiting: Callable[[], bool]
-    returned_before: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -79,8 +78,8 @@
 class ResumeAttempt:
     """Continue an attempt that the scheduler's other process has released; its worker has accepted the job.
 
-    ``sent_us`` is the time at which that process started the attempt; for the other fields see
-    `StartAttempt`.
+    ``sent_us`` is the time at which that process started the attempt; for ``until_us`` and ``deadline_us``
+    see `StartAttempt`.
     """
 
     job: int
@@ -89,7 +88,6 @@
     until_us: int
     deadline_us: int
     sent_us: int
-    returned_before: bool = False
 
 
 # From the endpoint
@@ -109,8 +107,7 @@
     """An attempt has ended ``took_us`` microseconds after its start.
 
     ``result`` is set if and only if the worker completed the job. ``returned``: the worker has returned the
-    job by a callback. Later attempts of the request at this worker are ``returned_before``: another such
-    callback may be a retransmission, so that it does not prove that the later attempt never ran.
+    job by a callback.
     """
 
     job: int
--- a/tests/test_endings_workers.py
+++ b/tests/test_endings_workers.py
@@ -176,6 +176,15 @@
     def send_callback(self, name: str, state: JobState = JobState.DONE) -> None:
         self.endpoint.tell(JobEvent(name, "s-1", state, 0.0, "result"))
 
+    async def complete_on_new_connection(self, name: str) -> None:
+        """Check that a job arrives on a new connection and is completed there."""
+        peer = await self.worker.accept()
+        assert await peer.read_request_line() == b"POST /x HTTP/1.1"
+        peer.write(ACCEPTED_RESPONSE)
+        await wait_until(lambda: self.endpoint.attempts[name].phase is Phase.ACCEPTED)
+        self.send_callback(name)
+        assert await self.ended_attempt() == (int(name[1:]), Outcome.COMPLETED)
+
 
 def job(name: str, key: str = "") -> protocol.JobRequest:
     headers = (("X-Request-ID", name),)
@@ -298,12 +307,7 @@
             if is_read:
                 await wait_until(lambda: transport.is_closing() or not unread(transport))
             rig.dispatch("j2")
-            second = await rig.worker.accept()
-            assert await second.read_request_line() == b"POST /x HTTP/1.1"
-            second.write(ACCEPTED_RESPONSE)
-            await wait_until(lambda: rig.endpoint.attempts["j2"].phase is Phase.ACCEPTED)
-            rig.send_callback("j2")
-            assert await rig.ended_attempt() == (2, Outcome.COMPLETED)
+            await rig.complete_on_new_connection("j2")
 
     run_test(scenario())
 
@@ -334,12 +338,7 @@
             rig.dispatch("j2")
             await asyncio.sleep(0.01)  # the next request goes out before the second response
             peer.write(REJECTED_RESPONSE)
-            new_peer = await rig.worker.accept()
-            assert await new_peer.read_request_line() == b"POST /x HTTP/1.1"
-            new_peer.write(ACCEPTED_RESPONSE)
-            await wait_until(lambda: rig.endpoint.attempts["j2"].phase is Phase.ACCEPTED)
-            rig.send_callback("j2")
-            assert await rig.ended_attempt() == (2, Outcome.COMPLETED)
+            await rig.complete_on_new_connection("j2")
 
     run_test(scenario())
 
