--- a/review/rig2.py
+++ b/review/rig2.py
@@ -8,7 +8,9 @@
 import contextlib
 import json
 import os
+import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -166,6 +168,7 @@
     address: str
     zone: str
     lifecycle: str = "active"
+    started_ms: int = 0
 
     def encode(self) -> Json:
         """The entry in discovery's form."""
@@ -177,7 +180,7 @@
             "cell": 1,
             "lifecycle": self.lifecycle,
             "weight": 1.0,
-            "startedAtMs": 0,
+            "startedAtMs": self.started_ms,
         }
 
 
@@ -198,9 +201,11 @@
         listed = [e.encode() for e in self.entries.values() if e.lifecycle != "left"]
         return {"generation": self.generation, "reset": True, "instances": listed}
 
-    def change(self, instance_id: str, lifecycle: str) -> None:
-        """Change an entry and tell all watches that are not silent."""
+    def change(self, instance_id: str, lifecycle: str, started: bool = False) -> None:
+        """Change an entry, and tell all watches that are not silent; ``started``: it has just started."""
         self.generation += 1
+        if started:
+            self.entries[instance_id].started_ms = int(time.time() * 1000)
         self.entries[instance_id].lifecycle = lifecycle
         self.record.add("discovery", f"{instance_id} is {lifecycle}, generation {self.generation}")
         entry = self.entries[instance_id].encode()
@@ -280,6 +285,9 @@
         self.is_repeat: Callable[[str, str], bool] = lambda _zone, _key: False
         self.runs: list[tuple[float, str, str]] = []  # time, request, key of each job that was begun
         self.tasks: set[asyncio.Task[None]] = set()
+        self.answered: list[tuple[float, Json]] = []  # when each call got its 200 or 204, and the call
+        self.silent = False  # vanished: it takes connections and says nothing
+        self.vanishes_at: Callable[[str], bool] = lambda _request_id: False  # asked at each job that comes
 
     def entry(self) -> Entry:
         """The worker's entry on the list."""
@@ -287,6 +295,12 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Take a job, or give one up."""
+        if not self.silent and self.vanishes_at(request.headers.get("X-Request-ID", "")):
+            self.record.add(self.instance_id, "vanishes")
+            self.silent = True
+        if self.silent:
+            self.record.add(self.instance_id, f"{request.method} {request.rel_url.path} gets no answer")
+            await asyncio.sleep(LIMIT_S)
         if request.method == "DELETE":
             return self._give_up(request.rel_url.path.rpartition("/")[2])
         if request.method != "POST":
@@ -296,6 +310,11 @@
         if not request_id:
             return web.Response(status=404)
         key = request.headers.get("Idempotency-Key", "")
+        self.take(request_id, key)
+        return web.Response(status=202)
+
+    def take(self, request_id: str, key: str) -> None:
+        """Take a job whose last byte has come, and run it."""
         attempt = Attempt(request_id, key, self.record.now())
         self.record.add(self.instance_id, f"attempt of {request_id} {('key ' + key) if key else ''} came")
         if request_id in self.open:
@@ -307,7 +326,6 @@
         task = asyncio.get_running_loop().create_task(self._run(attempt))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        return web.Response(status=202)
 
     def _give_up(self, request_id: str) -> web.Response:
         attempt = self.open.pop(request_id, None)
@@ -348,6 +366,8 @@
     async def tell(self, call: Json) -> None:
         """Make one call about a job, and repeat it until it gets an answer, at most ten times."""
         for number in range(CALL_TRIES):
+            if self.silent:
+                return
             if await self._call_once(call, self.lose_answer(call, number)):
                 return
             await asyncio.sleep(self.retry_s)
@@ -370,6 +390,8 @@
                 self.record.add(self.instance_id, f"answer to '{call['state']}' of {call['id']} is lost")
                 return False
             self.record.add(self.instance_id, f"told '{call['state']}' of {call['id']}, answer {status}")
+            if status in (200, 204):
+                self.answered.append((self.record.now(), call))
             return status in (200, 204)
         except (OSError, EOFError, TimeoutError):
             return False
@@ -377,6 +399,85 @@
             writer.close()
 
 
+class FarWorker(Worker):
+    """A worker in another data centre, some milliseconds away, whose 202 may be followed by a second answer.
+
+    It serves each connection in order, as an HTTP server does.
+    """
+
+    def __init__(
+        self, record: Record, instance_id: str, zone: str, plan: Callable[[Attempt], Json], one_way_s: float
+    ) -> None:
+        super().__init__(record, instance_id, zone, plan)
+        self.one_way_s = one_way_s
+        # How long after a 202 a second answer follows it; None: none does.
+        self.second_after_s: Callable[[], float | None] = lambda: None
+        self.second_answers = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self) -> None:
+        """Listen on a port that the system chooses."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        self.address = f"{LOOPBACK}:{self._server.sockets[0].getsockname()[1]}"
+
+    async def close(self) -> None:
+        """Stop listening, and close the connections."""
+        if self._server:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def tell(self, call: Json) -> None:
+        """Make one call about a job, which takes its way through the network."""
+        await asyncio.sleep(self.one_way_s)
+        await super().tell(call)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        with contextlib.suppress(OSError, EOFError):
+            while True:
+                method, path, headers = await read_request(reader)
+                await asyncio.sleep(self.one_way_s)
+                self._answer(writer, method, path, headers)
+        self._writers.discard(writer)
+        writer.close()
+
+    def _answer(self, writer: asyncio.StreamWriter, method: str, path: str, headers: dict[str, str]) -> None:
+        if method == "DELETE":
+            status = self._give_up(path.rpartition("/")[2]).status
+            self._write(writer, self.one_way_s, f"HTTP/1.1 {status} -\r\nContent-Length: 0\r\n\r\n")
+            return
+        request_id = headers["x-request-id"]
+        self.take(request_id, headers.get("idempotency-key", ""))
+        self._write(writer, self.one_way_s, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+        if (after_s := self.second_after_s()) is not None:
+            self.second_answers += 1
+            self.record.add(self.instance_id, f"a second answer to {request_id}, a 503, {after_s:.4f} s late")
+            second = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+            self._write(writer, self.one_way_s + after_s, second)
+
+    def _write(self, writer: asyncio.StreamWriter, after_s: float, text: str) -> None:
+        def write() -> None:
+            if not writer.transport.is_closing():
+                writer.write(text.encode())
+
+        asyncio.get_running_loop().call_later(after_s, write)
+
+
+async def read_request(reader: asyncio.StreamReader) -> tuple[str, str, dict[str, str]]:
+    """Read a request whole; return its method, path and headers. Raises EOFError at the end."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.split("\r\n")
+    method, path, _ = first.split(" ", 2)
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    await reader.readexactly(int(headers.get("content-length", "0")))
+    return method, path, headers
+
+
 async def open_connection(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Connect to a loopback address."""
     host, _, port = address.rpartition(":")
@@ -400,6 +501,60 @@
     return status, await reader.readexactly(length)
 
 
+class ClientNetwork:
+    """The way of the clients to one scheduler: a proxy that can reset their connections."""
+
+    def __init__(self, record: Record, scheduler: str) -> None:
+        self.record = record
+        self.scheduler = scheduler
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._open: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self) -> None:
+        """Listen on a port that the system chooses."""
+        self._server = await asyncio.start_server(self._carry, LOOPBACK, 0)
+        self.address = f"{LOOPBACK}:{self._server.sockets[0].getsockname()[1]}"
+
+    def reset(self) -> None:
+        """Reset all open connections, at both ends."""
+        self.record.add("network", f"{len(self._open) // 2} connections of clients are reset")
+        for writer in self._open:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        self._open.clear()
+
+    async def close(self) -> None:
+        """Stop carrying connections."""
+        if self._server:
+            self._server.close()
+        for writer in self._open:
+            writer.transport.abort()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            there_reader, there = await open_connection(self.scheduler)
+        except OSError:
+            writer.close()
+            return
+        self._open |= {writer, there}
+        for source, target in ((reader, there), (there_reader, writer)):
+            task = asyncio.get_running_loop().create_task(self._copy(source, target))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _copy(self, source: asyncio.StreamReader, target: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError):
+            while data := await source.read(65536):
+                target.write(data)
+        self._open.discard(target)
+        target.close()
+
+
 class Client:
     """A client: one request on a connection of its own."""
 
@@ -575,13 +730,14 @@
     """Play a case; exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the processes are ended on the way out
     record.add("case", "with the disruption" if trouble else "without the disruption")
     code = 2
     with tempfile.TemporaryDirectory(prefix="review-") as temporary:
         try:
             held = asyncio.run(_limited(case(record, Path(temporary), trouble)))
             code = 0 if held else 1
-        except (CannotRunError, OSError, TimeoutError) as e:
+        except Exception as e:  # whatever it is, it shows neither a fault nor its absence
             record.add("case", f"could not run: {e!r}")
         if os.environ.get("KEEP_LOGS"):
             for log in sorted(Path(temporary).glob("log-*.txt")):
